--- a/src/main/java/ashspar/wire/SettingsReader.java
+++ b/src/main/java/ashspar/wire/SettingsReader.java
@@ -8,14 +8,15 @@
 /**
  * Turns the flat settings of an ATTACH line into {@link Balancer.Settings}; unknown keys pass by.
  */
-final class SettingsReader {
+public final class SettingsReader {
   private final Map<String, String> env;
 
   private SettingsReader(Map<String, String> env) {
     this.env = env;
   }
 
-  static Balancer.Settings read(Map<String, String> env) {
+  /** The settings in these path=value pairs; throws {@link WireException} on what is malformed. */
+  public static Balancer.Settings read(Map<String, String> env) {
     return new SettingsReader(env).settings();
   }
 
--- a/src/main/java/ashspar/wire/WireException.java
+++ b/src/main/java/ashspar/wire/WireException.java
@@ -3,7 +3,7 @@
 /**
  * Input that is not what the wire allows; the message names the field and what is wrong with it.
  */
-final class WireException extends RuntimeException {
+public final class WireException extends RuntimeException {
   private static final long serialVersionUID = 1L;
 
   WireException(String message) {
--- /dev/null
+++ b/src/main/java/brassbank/Main.java
@@ -0,0 +1,65 @@
+package brassbank;
+
+import ashspar.wire.WireHost;
+import brassbank.config.Config;
+import brassbank.config.ConfigException;
+import brassbank.log.Log;
+import java.io.IOException;
+import java.util.Arrays;
+
+/** The command line: {@code serve} is the proxy, {@code drill} the simulator's wire host. */
+public final class Main {
+  private static final Log LOG = Log.of("main");
+
+  private Main() {}
+
+  public static void main(String[] args) throws IOException {
+    if (Arrays.equals(args, new String[] {"serve"})) {
+      System.exit(serve());
+    } else if (Arrays.equals(args, new String[] {"drill"})) {
+      WireHost.main(new String[] {"wirehost"});
+    } else {
+      System.err.println("usage: java -jar brassbank.jar serve | drill");
+      System.exit(2);
+    }
+  }
+
+  private static int serve() {
+    Log.install();
+    Config config;
+    try {
+      config = Config.read(System.getenv());
+    } catch (ConfigException e) {
+      System.err.println("brassbank: " + e.getMessage());
+      return 2;
+    }
+    Proxy proxy = new Proxy(config);
+    try {
+      proxy.start();
+    } catch (IOException | RuntimeException e) {
+      System.err.println("brassbank: cannot serve on " + config.listen() + ": " + e.getMessage());
+      return 1;
+    }
+    LOG.info(config.name() + " serves on " + config.listen());
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(proxy), "stop"));
+    try {
+      Thread.currentThread().join();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    return 0;
+  }
+
+  /** SIGTERM: the runtime waits for this hook, while the selector thread goes on serving. */
+  private static void stop(Proxy proxy) {
+    try {
+      LOG.info("stopping");
+      proxy.drain();
+      LOG.info("stopped");
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    // The status of a stop as planned, where the signal's own would look like a failure.
+    Runtime.getRuntime().halt(0);
+  }
+}
--- /dev/null
+++ b/src/main/java/brassbank/config/Config.java
@@ -0,0 +1,161 @@
+package brassbank.config;
+
+import ashspar.Balancer;
+import ashspar.wire.SettingsReader;
+import ashspar.wire.WireException;
+import brassbank.decide.TargetList;
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParseException;
+import com.google.gson.JsonParser;
+import com.google.gson.JsonPrimitive;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * All that a proxy is told at its start. The settings go through the adapter's reader, so that the
+ * module gets the same ones here as on the simulator's wire.
+ *
+ * @param reportFields the names that a load report's values have on the sockets, in their order
+ */
+public record Config(
+    String name,
+    InetSocketAddress listen,
+    InetSocketAddress discovery,
+    long seed,
+    int sockets,
+    TargetList known,
+    Balancer.Settings settings,
+    List<String> reportFields,
+    long connectTimeoutMicros,
+    long idleTimeoutMicros) {
+
+  private static final int SOCKETS_DEFAULT = 1024;
+
+  /** Reads the file that {@code LB_CONFIG} names; the other variables go before its values. */
+  public static Config read(Map<String, String> env) throws ConfigException {
+    String path = env.get("LB_CONFIG");
+    if (path == null || path.isBlank()) {
+      throw new ConfigException("LB_CONFIG is not set: it names the configuration file");
+    }
+    String text;
+    try {
+      text = Files.readString(Path.of(path));
+    } catch (IOException | IllegalArgumentException e) {
+      throw new ConfigException("cannot read the configuration " + path + ": " + e.getMessage());
+    }
+    try {
+      return parse(env, JsonParser.parseString(text).getAsJsonObject());
+    } catch (JsonParseException
+        | IllegalStateException
+        | UnsupportedOperationException
+        | ClassCastException
+        | WireException
+        | IllegalArgumentException e) {
+      throw new ConfigException("the configuration " + path + " is not valid: " + e.getMessage());
+    }
+  }
+
+  private static Config parse(Map<String, String> env, JsonObject json) throws ConfigException {
+    if (!json.has("settings")) {
+      throw new ConfigException("the configuration has no 'settings'");
+    }
+    Map<String, String> flat = new LinkedHashMap<>();
+    flatten("", json.get("settings"), flat);
+    Balancer.Settings settings = SettingsReader.read(flat);
+    TargetList known =
+        json.has("known") && json.get("known").isJsonObject()
+            ? TargetList.parse(json.getAsJsonObject("known"))
+            : new TargetList(0, true, List.of());
+    JsonObject limits = json.has("limits") ? json.getAsJsonObject("limits") : new JsonObject();
+    return new Config(
+        value(env, "LB_NAME", json, "name"),
+        address("listen", value(env, "LB_LISTEN", json, "listen")),
+        address("discovery", value(env, "LB_DISCOVERY", json, "discovery")),
+        seed(json),
+        limits.has("sockets") ? limits.get("sockets").getAsInt() : SOCKETS_DEFAULT,
+        known,
+        settings,
+        fields(flat),
+        micros(flat, "allowed.dial-timeout", 200_000),
+        micros(flat, "allowed.keepalive", 5_000_000));
+  }
+
+  private static String value(Map<String, String> env, String variable, JsonObject json, String key)
+      throws ConfigException {
+    String value = env.get(variable);
+    if (value == null || value.isBlank()) {
+      value = json.has(key) ? json.get(key).getAsString() : "";
+    }
+    if (value.isBlank()) {
+      throw new ConfigException("neither " + variable + " nor '" + key + "' is given");
+    }
+    return value;
+  }
+
+  private static InetSocketAddress address(String what, String text) throws ConfigException {
+    try {
+      return TargetList.address(text);
+    } catch (IllegalArgumentException e) {
+      throw new ConfigException("'" + what + "' is no address:port: " + text);
+    }
+  }
+
+  private static long seed(JsonObject json) {
+    String text = json.has("seed") ? json.get("seed").getAsString() : "";
+    try {
+      return Long.parseUnsignedLong(text, 16);
+    } catch (NumberFormatException e) {
+      return text.isEmpty() ? System.nanoTime() : text.hashCode();
+    }
+  }
+
+  private static long micros(Map<String, String> flat, String key, long absent) {
+    String value = flat.get(key);
+    return value == null ? absent : (long) Double.parseDouble(value);
+  }
+
+  private static List<String> fields(Map<String, String> flat) {
+    String fields = flat.getOrDefault("report.fields", "");
+    return fields.isEmpty() ? List.of() : List.of(fields.split(","));
+  }
+
+  /** The nested settings as path=value pairs, in the form that an ATTACH line has. */
+  private static void flatten(String path, JsonElement element, Map<String, String> into) {
+    if (element.isJsonObject()) {
+      for (Map.Entry<String, JsonElement> entry : element.getAsJsonObject().entrySet()) {
+        flatten(
+            path.isEmpty() ? entry.getKey() : path + "." + entry.getKey(), entry.getValue(), into);
+      }
+    } else if (element.isJsonArray()) {
+      JsonArray array = element.getAsJsonArray();
+      if (!array.isEmpty() && array.get(0).isJsonObject()) {
+        into.put(path + ".count", String.valueOf(array.size()));
+        for (int i = 0; i < array.size(); i++) {
+          flatten(path + "." + i, array.get(i), into);
+        }
+      } else {
+        List<String> values = new ArrayList<>();
+        array.forEach(value -> values.add(simple(value)));
+        into.put(path, String.join(",", values));
+      }
+    } else if (!element.isJsonNull()) {
+      into.put(path, simple(element));
+    }
+  }
+
+  private static String simple(JsonElement element) {
+    if (element instanceof JsonPrimitive primitive) {
+      String text = primitive.getAsString();
+      return primitive.isString() ? text.replace(' ', '_').replace(',', '_') : text;
+    }
+    return String.valueOf(element);
+  }
+}
--- /dev/null
+++ b/src/main/java/brassbank/config/package-info.java
@@ -0,0 +1,2 @@
+/** What the proxy is told: the LB_ variables and the JSON configuration. */
+package brassbank.config;
--- /dev/null
+++ b/src/main/java/brassbank/decide/Decider.java
@@ -0,0 +1,586 @@
+package brassbank.decide;
+
+import ashspar.Balancer;
+import ashspar.Policy;
+import brassbank.log.Log;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+
+/**
+ * The facade in front of the decision module, in blocking style: each call returns what is to be
+ * done. It owns the module, its timers, the clock and the ledger of flows, and keeps for them that
+ * a flow has one final answer, a forward one outcome, no two forwards are out, and nothing follows
+ * the end. It is called from one thread; it never calls out.
+ */
+public final class Decider {
+  private static final Log LOG = Log.of("decide");
+
+  private static final long MILLI = 1_000;
+  private static final long SECOND = 1_000_000;
+
+  /**
+   * A standing connection whose target leaves a client's line unanswered for this long is moved.
+   * The contract asks for it within 7 s of the line; TCP never tells of a silent machine.
+   */
+  private static final long UNANSWERED_LIMIT = 4_500 * MILLI;
+
+  /** Pause before an open connection's own target is tried again after it could not be reached. */
+  private static final long REJOIN_PAUSE = 300 * MILLI;
+
+  /** Least time between two notes to the module on one target's delay. */
+  private static final long DELAY_NOTE_PAUSE = SECOND;
+
+  /** Before the end of a planned stop, what is not settled by then is answered or moved. */
+  private static final long STOP_MARGIN = 700 * MILLI;
+
+  private enum Stage {
+    HELD,
+    OUT,
+    UP
+  }
+
+  /** The ledger's line for a flow that has no final answer or whose connection stands. */
+  private static final class Entry {
+    final Flow flow;
+    final Balancer.Request request;
+    final long deadline;
+    Stage stage = Stage.HELD;
+    int forwards;
+    Target target;
+    long sentAt;
+    long askedAt;
+
+    Entry(Flow flow, Balancer.Request request, long deadline) {
+      this.flow = flow;
+      this.request = request;
+      this.deadline = deadline;
+    }
+  }
+
+  private enum AlarmKind {
+    MODULE,
+    FORWARD_DUE,
+    ANSWER_DUE,
+    UNANSWERED,
+    REJOIN,
+    STOP
+  }
+
+  /** A time to look at something again; {@code subject} is a token, or a flow's id. */
+  private record Alarm(long due, long order, AlarmKind kind, long subject, int forward) {}
+
+  /** An outcome that the module is still to be told. */
+  private record Owed(Entry entry, Ending ending, boolean closed) {}
+
+  private static final class Delay {
+    long notedAt = Long.MIN_VALUE / 2;
+    boolean slow;
+  }
+
+  private final Balancer.Settings settings;
+  private final FlowClock clock;
+  private final Balancer module;
+  private final Map<Long, Entry> ledger = new LinkedHashMap<>();
+  private final Map<String, Target> group = new HashMap<>();
+  private final Map<String, Delay> delays = new HashMap<>();
+  private final PriorityQueue<Alarm> alarms =
+      new PriorityQueue<>(
+          (a, b) ->
+              a.due() != b.due()
+                  ? Long.compare(a.due(), b.due())
+                  : Long.compare(a.order(), b.order()));
+  private final double slowMillis;
+  private final ArrayDeque<Owed> owed = new ArrayDeque<>();
+  private List<Decision> out = new ArrayList<>();
+  private long alarmCount;
+  private long now;
+  private long stopBy;
+
+  /** Starts the module with the list that this proxy last had. */
+  public Decider(Balancer.Settings settings, long seed, TargetList known, FlowClock clock) {
+    this.settings = settings;
+    this.clock = clock;
+    this.now = clock.now();
+    this.module = new Policy(now, settings, seed, new Collector());
+    double shortest = Double.MAX_VALUE;
+    for (Balancer.RequestClass type : settings.classes()) {
+      if (type.messageAim() > 0) {
+        shortest = Math.min(shortest, type.messageAim());
+      }
+    }
+    this.slowMillis = shortest == Double.MAX_VALUE ? Double.MAX_VALUE : shortest / 3 / MILLI;
+    list(known, Balancer.ListKind.CACHED);
+  }
+
+  // ------------------------------------------------------------- the facade
+
+  /** A flow has come in; what is decided on it comes back, a {@code Hold} if nothing is yet. */
+  public List<Decision> pick(Flow flow) {
+    now = clock.now();
+    Balancer.require(!ledger.containsKey(flow.id()), "flow " + flow.id() + " is known");
+    if (settings.classes().stream().noneMatch(c -> c.name().equals(flow.flowClass()))) {
+      return List.of(new Decision.Fail(flow.id()));
+    }
+    Balancer.Request request =
+        new Balancer.Request(
+            flow.id(),
+            flow.key(),
+            flow.flowClass(),
+            flow.tenant(),
+            Math.max(0, flow.leftMicros()),
+            flow.hint(),
+            flow.retry(),
+            false,
+            flow.returning());
+    Entry entry = new Entry(flow, request, now + request.left());
+    ledger.put(flow.id(), entry);
+    alarm(entry.deadline + settings.rules().answerSlack(), AlarmKind.ANSWER_DUE, flow.id(), 0);
+    if (flow.at() != null) {
+      rejoin(entry);
+    } else {
+      module.request(now, request);
+    }
+    if (ledger.get(flow.id()) == entry && entry.stage == Stage.HELD) {
+      out.add(new Decision.Hold(flow.id()));
+    }
+    return decided();
+  }
+
+  /** Something has happened; what is decided on it comes back. */
+  public List<Decision> report(Happening happening) {
+    now = clock.now();
+    if (happening instanceof Happening.Up up) {
+      up(up.flow());
+    } else if (happening instanceof Happening.Load load) {
+      Entry entry = standing(load.flow());
+      if (entry != null) {
+        note(entry, Balancer.NoteKind.LOAD, load.load());
+      }
+    } else if (happening instanceof Happening.Asked asked) {
+      asked(standing(asked.flow()));
+    } else if (happening instanceof Happening.Answered answered) {
+      answered(standing(answered.flow()));
+    } else if (happening instanceof Happening.Ended ended) {
+      ended(ended);
+    } else if (happening instanceof Happening.ClientLeft left) {
+      left(left.flow());
+    } else if (happening instanceof Happening.Probed probed) {
+      module.probed(
+          now, probed.target(), probed.ending().status, probed.elapsedMicros(), probed.report());
+    } else if (happening instanceof Happening.Listed listed) {
+      list(listed.list(), listed.list().whole() ? Balancer.ListKind.FULL : Balancer.ListKind.DELTA);
+    } else if (happening instanceof Happening.FetchFailed) {
+      module.servers(now, Balancer.ListKind.FAILED, List.of());
+    } else if (happening instanceof Happening.Stopping stopping) {
+      stopBy = Math.max(now + 1, stopping.by() - STOP_MARGIN);
+      alarm(now, AlarmKind.STOP, 0, 0);
+    }
+    return decided();
+  }
+
+  /** Does what is due at {@code at}, a time of the facade's clock. */
+  public List<Decision> tick(long at) {
+    now = Math.max(now, at);
+    while (!alarms.isEmpty() && alarms.peek().due() <= now) {
+      ring(alarms.poll());
+    }
+    return decided();
+  }
+
+  /** When {@link #tick} is next due, or Long.MAX_VALUE. */
+  public long nextTick() {
+    return alarms.isEmpty() ? Long.MAX_VALUE : alarms.peek().due();
+  }
+
+  /** Flows without a final answer, and standing connections. */
+  public int open() {
+    return ledger.size();
+  }
+
+  /** Whether any target is known, so that clients can be served. */
+  public boolean ready() {
+    return !group.isEmpty();
+  }
+
+  private List<Decision> decided() {
+    // What the module itself ended: its outcome must not reach the module within its own call.
+    while (!owed.isEmpty()) {
+      Owed next = owed.remove();
+      outcome(next.entry(), next.ending(), next.closed());
+    }
+    List<Decision> decided = out;
+    out = new ArrayList<>();
+    return decided;
+  }
+
+  // ------------------------------------------------------------ life of a flow
+
+  private Entry standing(long flow) {
+    Entry entry = ledger.get(flow);
+    return entry != null && entry.stage == Stage.UP ? entry : null;
+  }
+
+  private void up(long flow) {
+    Entry entry = ledger.get(flow);
+    if (entry == null || entry.stage != Stage.OUT) {
+      return;
+    }
+    entry.stage = Stage.UP;
+    if (entry.flow.at() != null) {
+      module.resumed(now, entry.request, entry.target.name());
+    } else {
+      module.accepted(now, flow, entry.forwards - 1, entry.target.name(), now - entry.sentAt);
+    }
+  }
+
+  private void ended(Happening.Ended ended) {
+    Entry entry = ledger.get(ended.flow());
+    if (entry == null || entry.stage == Stage.HELD) {
+      return;
+    }
+    if (entry.stage == Stage.UP) {
+      close(entry);
+      outcome(entry, ended.ending(), true);
+    } else {
+      entry.stage = Stage.HELD;
+      outcome(entry, ended.ending(), false);
+    }
+  }
+
+  private void left(long flow) {
+    Entry entry = ledger.get(flow);
+    if (entry == null) {
+      return;
+    }
+    close(entry);
+    if (entry.stage == Stage.UP) {
+      outcome(entry, Ending.CANCELLED, true);
+      return;
+    }
+    if (entry.flow.at() == null) {
+      module.lapsed(now, flow);
+    }
+    if (entry.stage == Stage.OUT) {
+      out.add(new Decision.Cancel(flow));
+      outcome(entry, Ending.CANCELLED, true);
+    }
+  }
+
+  /** The one place where a forward's outcome reaches the module. */
+  private void outcome(Entry entry, Ending ending, boolean closed) {
+    if (entry.flow.at() != null && entry.stage != Stage.UP) {
+      if (!closed) {
+        retryRejoin(entry, ending);
+      }
+      return;
+    }
+    module.outcome(
+        now,
+        new Balancer.Outcome(
+            entry.flow.id(),
+            entry.forwards - 1,
+            entry.target.name(),
+            ending.status,
+            now - entry.sentAt,
+            closed,
+            List.of()));
+  }
+
+  /** The one place where a flow leaves the ledger. */
+  private void close(Entry entry) {
+    ledger.remove(entry.flow.id());
+  }
+
+  private void forward(Entry entry, Target target, long until) {
+    entry.stage = Stage.OUT;
+    entry.forwards++;
+    entry.target = target;
+    entry.sentAt = now;
+    alarm(until, AlarmKind.FORWARD_DUE, entry.flow.id(), entry.forwards);
+    out.add(new Decision.Forward(entry.flow.id(), target, until));
+  }
+
+  // --------------------------- connections that were open before this proxy
+
+  /** Goes to the connection's own target; the module hears of it once it stands again. */
+  private void rejoin(Entry entry) {
+    Target target = group.get(entry.flow.at());
+    if (target != null) {
+      forward(entry, target, entry.deadline);
+    } else {
+      alarm(now + REJOIN_PAUSE, AlarmKind.REJOIN, entry.flow.id(), 0);
+    }
+  }
+
+  private void retryRejoin(Entry entry, Ending ending) {
+    boolean again =
+        ending == Ending.CONNECT_FAILED
+            && now + REJOIN_PAUSE < entry.deadline
+            && entry.forwards < settings.limits().maxAttempts();
+    if (again) {
+      alarm(now + REJOIN_PAUSE, AlarmKind.REJOIN, entry.flow.id(), 0);
+    } else {
+      close(entry);
+      out.add(
+          ending.status.neverRan
+              ? new Decision.FixedResponse(entry.flow.id(), 0)
+              : new Decision.Fail(entry.flow.id()));
+    }
+  }
+
+  // --------------------------------------------------- lines and their delay
+
+  private void asked(Entry entry) {
+    if (entry != null && entry.askedAt == 0) {
+      entry.askedAt = now;
+      alarm(now + UNANSWERED_LIMIT, AlarmKind.UNANSWERED, entry.flow.id(), 0);
+    }
+  }
+
+  private void answered(Entry entry) {
+    if (entry == null || entry.askedAt == 0) {
+      return;
+    }
+    double millis = (now - entry.askedAt) / (double) MILLI;
+    entry.askedAt = 0;
+    Delay delay = delays.computeIfAbsent(entry.target.name(), name -> new Delay());
+    boolean slow = millis > slowMillis;
+    if (slow ? now - delay.notedAt >= DELAY_NOTE_PAUSE : delay.slow) {
+      delay.notedAt = now;
+      delay.slow = slow;
+      note(entry, Balancer.NoteKind.DELAY, millis);
+    }
+  }
+
+  private void note(Entry entry, Balancer.NoteKind kind, double value) {
+    module.note(
+        now, entry.flow.id(), Math.max(0, entry.forwards - 1), entry.target.name(), kind, value);
+  }
+
+  // ------------------------------------------------------------------- alarms
+
+  private void alarm(long due, AlarmKind kind, long subject, int forward) {
+    alarms.add(new Alarm(due, alarmCount++, kind, subject, forward));
+  }
+
+  private void ring(Alarm alarm) {
+    if (alarm.kind() == AlarmKind.MODULE) {
+      module.timer(now, alarm.subject());
+      return;
+    }
+    if (alarm.kind() == AlarmKind.STOP) {
+      stop();
+      return;
+    }
+    Entry entry = ledger.get(alarm.subject());
+    if (entry == null) {
+      return;
+    }
+    switch (alarm.kind()) {
+      case FORWARD_DUE -> {
+        if (entry.stage == Stage.OUT && entry.forwards == alarm.forward()) {
+          entry.stage = Stage.HELD;
+          out.add(new Decision.Cancel(entry.flow.id()));
+          outcome(entry, Ending.TIMED_OUT, false);
+        }
+      }
+      case ANSWER_DUE -> {
+        // Guards the one rule that no client may break for us: an answer before it gives up.
+        if (entry.stage != Stage.UP) {
+          LOG.warn("flow " + entry.flow.id() + " had no answer at its deadline");
+          refuse(entry);
+        }
+      }
+      case UNANSWERED -> {
+        if (entry.stage == Stage.UP && entry.askedAt > 0) {
+          if (now - entry.askedAt >= UNANSWERED_LIMIT) {
+            close(entry);
+            out.add(new Decision.Move(entry.flow.id()));
+            outcome(entry, Ending.RESET, true);
+          } else {
+            alarm(entry.askedAt + UNANSWERED_LIMIT, AlarmKind.UNANSWERED, entry.flow.id(), 0);
+          }
+        }
+      }
+      case REJOIN -> {
+        if (entry.stage == Stage.HELD) {
+          rejoin(entry);
+        }
+      }
+      default -> throw new IllegalStateException("no such alarm: " + alarm.kind());
+    }
+  }
+
+  /** Ends a flow that has no answer without the module. */
+  private void refuse(Entry entry) {
+    close(entry);
+    if (entry.flow.at() == null) {
+      module.lapsed(now, entry.flow.id());
+    }
+    if (entry.stage == Stage.OUT) {
+      out.add(new Decision.Cancel(entry.flow.id()));
+      outcome(entry, Ending.CANCELLED, true);
+    }
+    out.add(new Decision.FixedResponse(entry.flow.id(), 0));
+  }
+
+  // ------------------------------------------------------------- planned stop
+
+  /**
+   * Moves standing clients one after the other, spread over the time there is, so that the other
+   * proxies are not met by all at once; whatever is left at the end is answered or moved then.
+   */
+  private void stop() {
+    List<Entry> entries = List.copyOf(ledger.values());
+    if (now >= stopBy) {
+      entries.forEach(
+          entry -> {
+            if (entry.stage == Stage.UP) {
+              moveAway(entry);
+            } else {
+              refuse(entry);
+            }
+          });
+    } else {
+      entries.stream().filter(e -> e.stage == Stage.UP).findFirst().ifPresent(this::moveAway);
+    }
+    long left = Math.max(0, stopBy - now);
+    long pause = left / Math.max(1, ledger.size());
+    alarm(now + Math.max(MILLI, Math.min(pause, 50 * MILLI)), AlarmKind.STOP, 0, 0);
+  }
+
+  private void moveAway(Entry entry) {
+    close(entry);
+    out.add(new Decision.Move(entry.flow.id()));
+    owed.add(new Owed(entry, Ending.CANCELLED, true));
+  }
+
+  // ------------------------------------------------------------- target group
+
+  private void list(TargetList list, Balancer.ListKind kind) {
+    if (kind != Balancer.ListKind.DELTA) {
+      group.clear();
+    }
+    List<Balancer.ServerEntry> entries = new ArrayList<>(list.entries().size());
+    for (TargetList.Entry entry : list.entries()) {
+      Balancer.State state =
+          switch (entry.status()) {
+            case SERVING -> Balancer.State.READY;
+            case DRAINING -> Balancer.State.DRAINING;
+            case DELETED -> Balancer.State.GONE;
+          };
+      if (state == Balancer.State.GONE) {
+        group.remove(entry.name());
+        delays.remove(entry.name());
+      } else {
+        group.put(entry.name(), new Target(entry.name(), entry.address()));
+      }
+      entries.add(
+          new Balancer.ServerEntry(
+              entry.name(),
+              entry.zone(),
+              entry.type(),
+              entry.group(),
+              state,
+              entry.weight(),
+              clock.ofUnixMillis(entry.sinceMillis())));
+    }
+    module.servers(now, kind, entries);
+  }
+
+  /** Turns the module's actions into decisions, against the ledger. */
+  private final class Collector implements Balancer.Actions {
+    @Override
+    public void send(long id, String server, long abandonAt) {
+      Entry entry = ledger.get(id);
+      Target target = group.get(server);
+      if (entry == null || entry.stage != Stage.HELD || target == null) {
+        throw new IllegalStateException("no forward of flow " + id + " to " + server + " may go");
+      }
+      forward(entry, target, abandonAt > 0 ? Math.min(abandonAt, entry.deadline) : entry.deadline);
+    }
+
+    @Override
+    public void refuse(long id, long retryAfter) {
+      if (answer(id)) {
+        out.add(new Decision.FixedResponse(id, (retryAfter + MILLI - 1) / MILLI));
+      }
+    }
+
+    @Override
+    public void fail(long id) {
+      if (answer(id)) {
+        out.add(new Decision.Fail(id));
+      }
+    }
+
+    private boolean answer(long id) {
+      Entry entry = ledger.get(id);
+      if (entry == null || entry.stage == Stage.UP) {
+        return false;
+      }
+      close(entry);
+      if (entry.stage == Stage.OUT) {
+        out.add(new Decision.Cancel(id));
+        owed.add(new Owed(entry, Ending.CANCELLED, true));
+      }
+      return true;
+    }
+
+    @Override
+    public void cancel(long id, int attempt) {
+      Entry entry = ledger.get(id);
+      if (entry != null && entry.stage == Stage.OUT && entry.forwards == attempt + 1) {
+        entry.stage = Stage.HELD;
+        out.add(new Decision.Cancel(id));
+        owed.add(new Owed(entry, Ending.CANCELLED, false));
+      }
+    }
+
+    @Override
+    public void move(long id) {
+      Entry entry = standing(id);
+      if (entry != null) {
+        moveAway(entry);
+      }
+    }
+
+    @Override
+    public void timer(long delay, long token) {
+      alarm(now + delay, AlarmKind.MODULE, token, 0);
+    }
+
+    @Override
+    public void probe(String server) {
+      Target target = group.get(server);
+      if (target != null) {
+        out.add(new Decision.Probe(target));
+      }
+    }
+
+    @Override
+    public void watch(boolean on) {
+      out.add(new Decision.Watch(on));
+    }
+
+    @Override
+    public void fetch() {
+      out.add(new Decision.Fetch());
+    }
+
+    @Override
+    public void tell(int peer, byte[] message) {
+      throw new UnsupportedOperationException("proxies have no way to talk to each other");
+    }
+
+    @Override
+    public void log(String text) {
+      LOG.info(text);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/brassbank/decide/Happening.java
@@ -0,0 +1,38 @@
+package brassbank.decide;
+
+import java.util.List;
+
+/** What the network has seen. */
+public sealed interface Happening {
+
+  /** The target has taken the flow: its connection stands. */
+  record Up(long flow) implements Happening {}
+
+  /** The target has told the load of a standing connection. */
+  record Load(long flow, double load) implements Happening {}
+
+  /** The client's line has been passed to the target. */
+  record Asked(long flow) implements Happening {}
+
+  /** A line of the target has been passed to the client. */
+  record Answered(long flow) implements Happening {}
+
+  /** The forward that was out, or the standing connection, has ended on the target's side. */
+  record Ended(long flow, Ending ending) implements Happening {}
+
+  /** The client has left. */
+  record ClientLeft(long flow) implements Happening {}
+
+  /** A probe has ended; the report's values are in the order of the settings. */
+  record Probed(String target, Ending ending, long elapsedMicros, List<Double> report)
+      implements Happening {}
+
+  /** Discovery has told of the target group. */
+  record Listed(TargetList list) implements Happening {}
+
+  /** A fetch has failed; the list still holds. */
+  record FetchFailed() implements Happening {}
+
+  /** The proxy is to stop by then (the facade's clock). */
+  record Stopping(long by) implements Happening {}
+}
--- /dev/null
+++ b/src/main/java/brassbank/front/Front.java
@@ -0,0 +1,139 @@
+package brassbank.front;
+
+import brassbank.log.Log;
+import brassbank.net.Link;
+import brassbank.net.Loop;
+import brassbank.net.Net;
+import brassbank.target.Client;
+import brassbank.target.Dispatcher;
+
+/**
+ * The platform's client protocol: {@code PING}, {@code OPEN}, and the answers to them. Another
+ * front would hand its own flows to the same dispatcher.
+ */
+public final class Front {
+  private static final Log LOG = Log.of("front");
+
+  /** A connection with no first line for this long is closed. */
+  private static final long FIRST_LINE_MICROS = 10_000_000;
+
+  private final Net net;
+  private final Dispatcher dispatcher;
+  private long flows;
+
+  public Front(Net net, Dispatcher dispatcher) {
+    this.net = net;
+    this.dispatcher = dispatcher;
+  }
+
+  /** Takes a client's new connection. */
+  public void accept(Link link) {
+    Session session = new Session(link);
+    link.owner(session);
+    session.awaitLine();
+  }
+
+  /** One client's connection, until it stands or is answered. */
+  private final class Session implements Link.Owner, Client {
+    private final Link link;
+    private Loop.Timer firstLine;
+    private OpenLine open;
+    private long flow;
+    private boolean answered;
+
+    Session(Link link) {
+      this.link = link;
+    }
+
+    void awaitLine() {
+      firstLine = net.loop().after(FIRST_LINE_MICROS, () -> reject("no first line"));
+    }
+
+    @Override
+    public void received(Link from) {
+      while (open == null && link.isOpen()) {
+        String line = link.buffer().nextLine();
+        if (link.buffer().overlong()) {
+          reject("the line is too long");
+        } else if (line == null) {
+          return;
+        } else {
+          first(line);
+        }
+      }
+      // A client waits for its answer: one that goes on sending must not fill the memory.
+      if (open != null && !answered && link.buffer().held() > Link.LONGEST_LINE) {
+        link.pause();
+      }
+    }
+
+    private void first(String line) {
+      firstLine.cancel();
+      if (line.equals("PING")) {
+        if (dispatcher.ready()) {
+          link.send("PONG");
+        }
+        awaitLine();
+        return;
+      }
+      try {
+        open = OpenLine.parse(line);
+      } catch (IllegalArgumentException e) {
+        reject(e.getMessage());
+        return;
+      }
+      flow = ++flows;
+      dispatcher.submit(open.flow(flow, open.deadlineMillis() * 1000), this);
+    }
+
+    private void reject(String reason) {
+      firstLine.cancel();
+      LOG.info("a client was turned away: " + reason);
+      link.send("ERR " + reason.replaceAll("[^ -~]", "?"));
+      link.close();
+    }
+
+    @Override
+    public void ended(Link from, boolean reset) {
+      firstLine.cancel();
+      if (open != null && !answered) {
+        answered = true;
+        dispatcher.clientLeft(flow);
+      }
+    }
+
+    @Override
+    public String opening(long remainingMillis) {
+      return open.withDeadline(remainingMillis);
+    }
+
+    @Override
+    public Link up(String line) {
+      answered = true;
+      link.resume();
+      link.send(line);
+      return link;
+    }
+
+    @Override
+    public void refuse(long retryMillis) {
+      answer(retryMillis > 0 ? "BUSY " + retryMillis : "BUSY");
+    }
+
+    @Override
+    public void fail() {
+      answer("ERR");
+    }
+
+    private void answer(String line) {
+      answered = true;
+      link.send(line);
+      link.close();
+    }
+
+    @Override
+    public String farewell() {
+      return "MOVE";
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/brassbank/log/Log.java
@@ -0,0 +1,89 @@
+package brassbank.log;
+
+import java.io.PrintStream;
+import java.time.Instant;
+import java.time.temporal.ChronoUnit;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+
+/** Writes one line per call: time, level, component, text. Grizzly's own lines come here too. */
+public final class Log {
+  private static final PrintStream OUT = System.err;
+  private static final Logger ROOT = Logger.getLogger("");
+
+  private final String component;
+
+  private Log(String component) {
+    this.component = component;
+  }
+
+  public static Log of(String component) {
+    return new Log(component);
+  }
+
+  /** Takes over java.util.logging, which the libraries write to. */
+  public static void install() {
+    for (Handler handler : ROOT.getHandlers()) {
+      ROOT.removeHandler(handler);
+    }
+    ROOT.addHandler(new Bridge());
+    ROOT.setLevel(Level.WARNING);
+  }
+
+  public void info(String text) {
+    write("info", component, text);
+  }
+
+  public void warn(String text) {
+    write("warn", component, text);
+  }
+
+  public void error(String text, Throwable cause) {
+    write("error", component, text + ": " + described(cause));
+  }
+
+  private static String described(Throwable cause) {
+    StringBuilder text = new StringBuilder(String.valueOf(cause));
+    StackTraceElement[] trace = cause.getStackTrace();
+    for (int i = 0; i < Math.min(6, trace.length); i++) {
+      text.append(" < ").append(trace[i]);
+    }
+    return text.toString();
+  }
+
+  private static void write(String level, String component, String text) {
+    // A peer's bytes may be in the text: a line of the log stays one line.
+    StringBuilder line = new StringBuilder(text.length() + 48);
+    line.append(Instant.now().truncatedTo(ChronoUnit.MILLIS)).append(' ').append(level);
+    line.append(' ').append(component).append(": ");
+    for (int i = 0; i < text.length(); i++) {
+      char c = text.charAt(i);
+      line.append(c < ' ' || c == 0x7f ? '?' : c);
+    }
+    OUT.println(line);
+  }
+
+  private static final class Bridge extends Handler {
+    @Override
+    public void publish(LogRecord record) {
+      String text = record.getMessage();
+      if (record.getThrown() != null) {
+        text += ": " + described(record.getThrown());
+      }
+      write(
+          record.getLevel().intValue() >= Level.WARNING.intValue() ? "warn" : "info",
+          "library",
+          String.valueOf(text));
+    }
+
+    @Override
+    public void flush() {
+      OUT.flush();
+    }
+
+    @Override
+    public void close() {}
+  }
+}
--- /dev/null
+++ b/src/main/java/brassbank/log/package-info.java
@@ -0,0 +1,2 @@
+/** The project's own logger. */
+package brassbank.log;
--- /dev/null
+++ b/src/main/java/brassbank/net/Net.java
@@ -0,0 +1,239 @@
+package brassbank.net;
+
+import brassbank.log.Log;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.Grizzly;
+import org.glassfish.grizzly.GrizzlyFuture;
+import org.glassfish.grizzly.IOEvent;
+import org.glassfish.grizzly.attributes.Attribute;
+import org.glassfish.grizzly.filterchain.FilterChain;
+import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.nio.NIOConnection;
+import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
+import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
+import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
+
+/** The transport: one selector thread, on which everything else runs too. */
+public final class Net {
+  static final Attribute<Link> LINK =
+      Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("brassbank.link");
+
+  private static final Log LOG = Log.of("net");
+
+  /** Descriptors that the runtime itself holds, and those kept for connects and discovery. */
+  private static final int RESERVE = 64;
+
+  /** Descriptors below the last at which flows are refused, so that refusing still works. */
+  private static final int BUSY_ROOM = 128;
+
+  private static final int READ_SIZE = 8 * 1024;
+  private static final int BACKLOG = 1024;
+
+  /** A connect that is under way. */
+  public interface Connecting {
+    void cancel();
+  }
+
+  /** What becomes of a connect. */
+  public interface Connected<T> {
+    void up(T connection);
+
+    void failed(Throwable cause);
+  }
+
+  private final Loop loop = new Loop();
+  private final TCPNIOTransport transport;
+  private final FilterChain lines;
+  private final Set<Link> links = new HashSet<>();
+  private final int most;
+  private Consumer<Link> acceptor;
+  private TCPNIOServerConnection server;
+  private boolean accepting = true;
+
+  public Net(int sockets) {
+    most = Math.max(BUSY_ROOM + 1, sockets - RESERVE);
+    transport =
+        TCPNIOTransportBuilder.newInstance()
+            .setSelectorRunnersCount(1)
+            .setIOStrategy(SameThreadIOStrategy.getInstance())
+            .setSelectorHandler(loop)
+            .setReuseAddress(true)
+            .setTcpNoDelay(true)
+            .setServerConnectionBackLog(BACKLOG)
+            .setReadBufferSize(READ_SIZE)
+            .build();
+    transport.setName("net");
+    lines = FilterChainBuilder.stateless().add(new LinkFilter(this)).build();
+  }
+
+  public void start() throws IOException {
+    transport.start();
+  }
+
+  /** Takes clients at this address and no other. */
+  public void listen(InetSocketAddress address, Consumer<Link> onAccept) throws IOException {
+    acceptor = onAccept;
+    transport.setProcessor(lines);
+    server = transport.bind(address);
+  }
+
+  /** Ends all that is left. */
+  public void stop() throws IOException {
+    transport.shutdownNow();
+  }
+
+  public Loop loop() {
+    return loop;
+  }
+
+  /** Runs a task on the selector thread, from any other. */
+  public void execute(Runnable task) {
+    transport
+        .getSelectorHandler()
+        .execute(
+            ((NIOConnection) server).getSelectorRunner(),
+            () -> {
+              Loop.guarded(task);
+              return true;
+            },
+            null);
+  }
+
+  /** Connections of lines that hold a socket. */
+  public int open() {
+    return links.size();
+  }
+
+  /** Whether descriptors run short, so that a new flow must be refused. */
+  public boolean full() {
+    return links.size() > most - BUSY_ROOM;
+  }
+
+  void accepted(Connection<?> connection) {
+    Link link = adopt(connection, null);
+    acceptor.accept(link);
+    admit();
+  }
+
+  private Link adopt(Connection<?> connection, Link.Owner owner) {
+    Link link = new Link(this, (NIOConnection) connection, owner);
+    LINK.set(connection, link);
+    links.add(link);
+    return link;
+  }
+
+  void released(Link link) {
+    links.remove(link);
+    admit();
+  }
+
+  /** An accept without a descriptor would end the listening socket: the backlog waits instead. */
+  private void admit() {
+    boolean room = links.size() < most;
+    if (room == accepting || server == null) {
+      return;
+    }
+    accepting = room;
+    try {
+      if (room) {
+        server.enableIOEvent(IOEvent.SERVER_ACCEPT);
+      } else {
+        LOG.warn("no descriptors left: " + links.size() + " connections are open");
+        server.disableIOEvent(IOEvent.SERVER_ACCEPT);
+      }
+    } catch (IOException e) {
+      LOG.error("cannot change what the listener takes", e);
+    }
+  }
+
+  /** Opens a connection of lines; it has a time limit, since a silent machine never answers. */
+  public Connecting connect(
+      InetSocketAddress address, long limitMicros, Link.Owner owner, Connected<Link> then) {
+    return connect(
+        lines,
+        address,
+        limitMicros,
+        new Connected<>() {
+          @Override
+          public void up(Connection<?> connection) {
+            then.up(adopt(connection, owner));
+          }
+
+          @Override
+          public void failed(Throwable cause) {
+            then.failed(cause);
+          }
+        });
+  }
+
+  /** Opens a connection with a chain of its own. Exactly one of the two outcomes is told. */
+  public Connecting connect(
+      FilterChain chain,
+      InetSocketAddress address,
+      long limitMicros,
+      Connected<Connection<?>> then) {
+    Attempt attempt = new Attempt(then);
+    attempt.start(chain, address, limitMicros);
+    return attempt;
+  }
+
+  /** Grizzly's connect is typed with the raw connection, hence the suppressed warning. */
+  @SuppressWarnings("rawtypes")
+  private final class Attempt extends EmptyCompletionHandler<Connection> implements Connecting {
+    private Connected<Connection<?>> then;
+    private GrizzlyFuture<Connection> future;
+    private Loop.Timer limit;
+
+    Attempt(Connected<Connection<?>> then) {
+      this.then = then;
+    }
+
+    void start(FilterChain chain, InetSocketAddress address, long limitMicros) {
+      limit = loop.after(limitMicros, () -> give(new IOException("not up in time")));
+      future = TCPNIOConnectorHandler.builder(transport).processor(chain).build().connect(address);
+      future.addCompletionHandler(this);
+    }
+
+    @Override
+    public void completed(Connection connection) {
+      if (then == null) {
+        connection.terminateSilently();
+        return;
+      }
+      limit.cancel();
+      Connected<Connection<?>> told = then;
+      then = null;
+      Loop.guarded(() -> told.up(connection));
+    }
+
+    @Override
+    public void failed(Throwable cause) {
+      give(cause);
+    }
+
+    private void give(Throwable cause) {
+      if (then != null) {
+        Connected<Connection<?>> told = then;
+        cancel();
+        Loop.guarded(() -> told.failed(cause));
+      }
+    }
+
+    @Override
+    public void cancel() {
+      limit.cancel();
+      then = null;
+      if (future != null) {
+        future.cancel(true);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/brassbank/net/package-info.java
@@ -0,0 +1,2 @@
+/** Sockets only: Grizzly's transport and chains, line framing, paired connections, timers. */
+package brassbank.net;
--- /dev/null
+++ b/src/main/java/brassbank/package-info.java
@@ -0,0 +1,2 @@
+/** The program: arguments, wiring and signals. */
+package brassbank;
