--- a/src/main/java/brassbank/Main.java
+++ b/src/main/java/brassbank/Main.java
@@ -33,8 +33,9 @@
       System.err.println("brassbank: " + e.getMessage());
       return 2;
     }
-    Proxy proxy = new Proxy(config);
+    Proxy proxy;
     try {
+      proxy = new Proxy(config);
       proxy.start();
     } catch (IOException | RuntimeException e) {
       System.err.println("brassbank: cannot serve on " + config.listen() + ": " + e.getMessage());
--- a/src/main/java/brassbank/Proxy.java
+++ b/src/main/java/brassbank/Proxy.java
@@ -76,7 +76,7 @@
   }
 
   private void awaitEmpty(long start, CountDownLatch empty) {
-    if (decider.open() == 0 && net.open() == 0 && clock.now() - start >= STILL_COMING) {
+    if (decider.open() == 0 && !net.closing() && clock.now() - start >= STILL_COMING) {
       empty.countDown();
     } else {
       net.loop().after(LOOK_AGAIN, () -> awaitEmpty(start, empty));
--- a/src/main/java/brassbank/front/Front.java
+++ b/src/main/java/brassbank/front/Front.java
@@ -6,6 +6,8 @@
 import brassbank.net.Net;
 import brassbank.target.Client;
 import brassbank.target.Dispatcher;
+import java.util.LinkedHashSet;
+import java.util.Set;
 
 /**
  * The platform's client protocol: {@code PING}, {@code OPEN}, and the answers to them. Another
@@ -17,8 +19,15 @@
   /** A connection with no first line for this long is closed. */
   private static final long FIRST_LINE_MICROS = 10_000_000;
 
+  /** While descriptors run short, no connection may stay silent for longer than this. */
+  private static final long PATIENCE_NANOS = 1_000_000_000;
+
   private final Net net;
   private final Dispatcher dispatcher;
+
+  /** Connections that have sent no first line yet, the oldest first. */
+  private final Set<Session> silent = new LinkedHashSet<>();
+
   private long flows;
 
   public Front(Net net, Dispatcher dispatcher) {
@@ -31,12 +40,18 @@
     Session session = new Session(link);
     link.owner(session);
     session.awaitLine();
+    // Guards the descriptors against clients that open connections and say nothing.
+    Session oldest = silent.iterator().next();
+    if (net.full() && System.nanoTime() - oldest.silentSince > PATIENCE_NANOS) {
+      oldest.reject("no first line, and descriptors run short");
+    }
   }
 
   /** One client's connection, until it stands or is answered. */
   private final class Session implements Link.Owner, Client {
     private final Link link;
     private Loop.Timer firstLine;
+    private long silentSince;
     private OpenLine open;
     private long flow;
     private boolean answered;
@@ -46,6 +61,8 @@
     }
 
     void awaitLine() {
+      silent.add(this);
+      silentSince = System.nanoTime();
       firstLine = net.loop().after(FIRST_LINE_MICROS, () -> reject("no first line"));
     }
 
@@ -67,8 +84,13 @@
       }
     }
 
-    private void first(String line) {
+    private void spoke() {
+      silent.remove(this);
       firstLine.cancel();
+    }
+
+    private void first(String line) {
+      spoke();
       if (line.equals("PING")) {
         if (dispatcher.ready()) {
           link.send("PONG");
@@ -87,7 +109,7 @@
     }
 
     private void reject(String reason) {
-      firstLine.cancel();
+      spoke();
       LOG.info("a client was turned away: " + reason);
       link.send("ERR " + reason.replaceAll("[^ -~]", "?"));
       link.close();
@@ -95,7 +117,7 @@
 
     @Override
     public void ended(Link from, boolean reset) {
-      firstLine.cancel();
+      spoke();
       if (open != null && !answered) {
         answered = true;
         dispatcher.clientLeft(flow);
--- a/src/main/java/brassbank/net/Link.java
+++ b/src/main/java/brassbank/net/Link.java
@@ -74,6 +74,10 @@
     return state == State.OPEN;
   }
 
+  boolean isClosing() {
+    return state == State.CLOSING;
+  }
+
   public void send(String line) {
     send((line + "\r\n").getBytes(StandardCharsets.ISO_8859_1), null);
   }
--- a/src/main/java/brassbank/net/Net.java
+++ b/src/main/java/brassbank/net/Net.java
@@ -29,10 +29,9 @@
   private static final Log LOG = Log.of("net");
 
   /** Descriptors that the runtime itself holds, and those kept for connects and discovery. */
-  private static final int RESERVE = 64;
+  private static final int RESERVE = 56;
 
-  /** Descriptors below the last at which flows are refused, so that refusing still works. */
-  private static final int BUSY_ROOM = 128;
+  private static final int LEAST = 8;
 
   private static final int READ_SIZE = 8 * 1024;
   private static final int BACKLOG = 1024;
@@ -59,7 +58,7 @@
   private boolean accepting = true;
 
   public Net(int sockets) {
-    most = Math.max(BUSY_ROOM + 1, sockets - RESERVE);
+    most = Math.max(LEAST, sockets - RESERVE);
     transport =
         TCPNIOTransportBuilder.newInstance()
             .setSelectorRunnersCount(1)
@@ -107,14 +106,14 @@
             null);
   }
 
-  /** Connections of lines that hold a socket. */
-  public int open() {
-    return links.size();
+  /** Whether a link that was closed still has something to send, or waits for its peer's end. */
+  public boolean closing() {
+    return links.stream().anyMatch(Link::isClosing);
   }
 
-  /** Whether descriptors run short, so that a new flow must be refused. */
+  /** Whether descriptors run short: a new flow must be refused while there is room to say so. */
   public boolean full() {
-    return links.size() > most - BUSY_ROOM;
+    return links.size() > most - most / 8;
   }
 
   void accepted(Connection<?> connection) {
--- /dev/null
+++ b/src/test/java/brassbank/ProxyTest.java
@@ -0,0 +1,342 @@
+package brassbank;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.sun.net.httpserver.HttpExchange;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The real program over sockets: clients, targets and discovery speak to it. */
+class ProxyTest {
+  private Site site;
+
+  @BeforeEach
+  void open() throws Exception {
+    site = new Site();
+  }
+
+  @AfterEach
+  void close() throws Exception {
+    site.close();
+  }
+
+  @Test
+  void passesTheFirstLineOnWithWhatRemainsOfItsTime() throws Exception {
+    Site.Target target = site.target("s-1");
+    site.start(target);
+    try (Peer client = site.client("d=2000,g=team,x=y")) {
+      assertThat(client.line()).isEqualTo("UP r-1");
+      String line = target.opened().first;
+      assertThat(line).matches("OPEN 9b1f key-1 c=preview,t=kelvin-stone,d=\\d+,g=team,x=y");
+      assertThat(Integer.parseInt(line.replaceAll(".*d=(\\d+).*", "$1"))).isBetween(1500, 2000);
+    }
+  }
+
+  @Test
+  void passesLinesBothWaysUnchangedAndEndsWithTheTarget() throws Exception {
+    Site.Target target = site.target("s-1");
+    site.start(target);
+    try (Peer client = site.client("d=2000")) {
+      assertThat(client.line()).isEqualTo("UP r-1");
+      Peer held = target.opened();
+      client.send("m 1 \u00e9\r\nm 2");
+      assertThat(held.line()).isEqualTo("m 1 \u00e9");
+      client.send("\r\n");
+      assertThat(held.line()).isEqualTo("m 2");
+      held.send("LOAD 0.5\r\nLOAD x\r\nr 1\r\nBYE\r\n").close();
+      for (String line : List.of("LOAD 0.5", "LOAD x", "r 1", "BYE")) {
+        assertThat(client.line()).isEqualTo(line);
+      }
+      assertThat(client.line()).isNull();
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"ERR\r\n", "BUSY\r\n", "MOVE\r\n", "nonsense \u0001\r\n"})
+  void triesAnotherTargetWhereOneDoesNotServe(String answer) throws Exception {
+    Site.Target bad = site.target("s-1");
+    Site.Target good = site.target("s-2");
+    bad.answer = line -> answer;
+    site.start(bad, good);
+    for (int i = 0; i < 6; i++) {
+      try (Peer client = site.client("d=3000")) {
+        assertThat(client.line()).isEqualTo("UP r-1");
+        assertThat(good.opened()).isNotNull();
+      }
+    }
+  }
+
+  @Test
+  void triesAnotherTargetWhereOneRefusesAndAnotherNeverComesUp() throws Exception {
+    Site.Target gone = site.target("s-1");
+    Site.Target good = site.target("s-2");
+    gone.close();
+    // A full backlog keeps a connect from coming up, as a silent machine does.
+    try (ServerSocket deaf = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        Socket one = new Socket(deaf.getInetAddress(), deaf.getLocalPort());
+        Socket two = new Socket(deaf.getInetAddress(), deaf.getLocalPort())) {
+      Site.Target silent = site.target("s-3");
+      silent.port = deaf.getLocalPort();
+      site.start(gone, good, silent);
+      for (int i = 0; i < 6; i++) {
+        try (Peer client = site.client("d=3000")) {
+          assertThat(client.line()).isEqualTo("UP r-1");
+        }
+      }
+      assertThat(one.isConnected() && two.isConnected()).isTrue();
+    }
+  }
+
+  @Test
+  void refusesInTimeWhatNoTargetAnswers() throws Exception {
+    Site.Target target = site.target("s-1");
+    target.answer = line -> "";
+    site.start(target);
+    long start = System.nanoTime();
+    try (Peer client = site.client("d=600")) {
+      assertThat(client.line()).startsWith("BUSY");
+      assertThat(client.line()).isNull();
+      assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start)).isBetween(500L, 900L);
+      // The forward was given up: its target sees the end, and no second copy came.
+      assertThat(target.opened().line()).isNull();
+      assertThat(target.opened).isEmpty();
+    }
+  }
+
+  @Test
+  void cancelsTheForwardOfAClientThatLeaves() throws Exception {
+    Site.Target target = site.target("s-1");
+    target.answer = line -> "";
+    site.start(target);
+    Peer client = site.client("d=4000");
+    Peer forward = target.opened();
+    client.close();
+    assertThat(forward.line()).isNull();
+  }
+
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void endsTheOtherSideTheSameWay(boolean byClient) throws Exception {
+    Site.Target target = site.target("s-1");
+    site.start(target);
+    for (boolean reset : new boolean[] {false, true}) {
+      // The module rests a target that broke a connection for 2 s: the next flow waits that long.
+      try (Peer client = site.client("d=4500")) {
+        assertThat(client.line()).isEqualTo("UP r-1");
+        Peer held = target.opened();
+        Peer ending = byClient ? client : held;
+        if (reset) {
+          ending.reset();
+        } else {
+          ending.socket.shutdownOutput();
+        }
+        assertThat((byClient ? held : client).line()).isEqualTo(reset ? "RESET" : null);
+      }
+    }
+  }
+
+  @Test
+  void movesAClientWhoseTargetHasFallenSilent() throws Exception {
+    Site.Target target = site.target("s-1");
+    site.start(target);
+    try (Peer client = site.client("d=2000")) {
+      assertThat(client.line()).isEqualTo("UP r-1");
+      client.send("m 1\r\n");
+      long start = System.nanoTime();
+      assertThat(client.line()).isEqualTo("MOVE");
+      assertThat(client.line()).isNull();
+      assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start)).isLessThan(7000);
+    }
+  }
+
+  @Test
+  void holdsATargetBackWhoseClientReadsSlowly() throws Exception {
+    Site.Target target = site.target("s-1");
+    site.start(target);
+    int lines = 200_000;
+    String text = "r".repeat(198) + "\r\n";
+    try (Peer client = site.client("d=2000")) {
+      assertThat(client.line()).isEqualTo("UP r-1");
+      Peer held = target.opened();
+      Thread writer =
+          new Thread(
+              () -> {
+                try {
+                  for (int i = 0; i < lines; i++) {
+                    held.send(text);
+                  }
+                  held.close();
+                } catch (java.io.IOException e) {
+                  throw new java.io.UncheckedIOException(e);
+                }
+              });
+      writer.start();
+      // 40 MB are more than buffers and sockets hold: the writer must still be at it.
+      writer.join(1500);
+      assertThat(writer.isAlive()).isTrue();
+      long bytes = 0;
+      InputStream in = client.socket.getInputStream();
+      byte[] chunk = new byte[1 << 16];
+      for (int n = in.read(chunk); n >= 0; n = in.read(chunk)) {
+        bytes += n;
+      }
+      assertThat(bytes).isEqualTo((long) lines * text.length());
+      writer.join();
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "GET / HTTP/1.1\r\n",
+        "OPEN\r\n",
+        "OPEN 1 k c=preview\r\n",
+        "OPEN 1 k c=preview,d=x\r\n",
+        "OPEN 1 k c=preview,d=-5\r\n",
+        "OPEN 1 k c=no-such-class,d=500\r\n",
+        "OPEN 1 k c=preview,d=500,\u0000=1\r\n",
+        "OPEN 1  k c=preview,d=500\r\n",
+        "\u0016\u0003\u0001\r\n",
+        "LONG"
+      })
+  void turnsBadInputAwayAndServesOn(String line) throws Exception {
+    Site.Target target = site.target("s-1");
+    site.start(target);
+    try (Peer bad = Peer.to(site.address)) {
+      bad.send(line.equals("LONG") ? "OPEN 1 k c=preview,x=" + "x".repeat(5000) : line);
+      assertThat(bad.line()).startsWith("ERR");
+      assertThat(bad.line()).isNull();
+    }
+    try (Peer client = site.client("d=2000")) {
+      assertThat(client.line()).isEqualTo("UP r-1");
+      assertThat(target.opened().first).startsWith("OPEN 9b1f");
+    }
+  }
+
+  @Test
+  void bringsAnOpenConnectionBackToItsOwnTarget() throws Exception {
+    Site.Target one = site.target("s-1");
+    Site.Target two = site.target("s-2");
+    site.start(one, two);
+    for (int i = 0; i < 4; i++) {
+      try (Peer client = site.client("d=2000,at=s-2")) {
+        assertThat(client.line()).isEqualTo("UP r-1");
+        assertThat(two.opened().first).contains("at=s-2");
+      }
+    }
+    assertThat(one.opened).isEmpty();
+  }
+
+  @Test
+  void sendsNothingToATargetThatIsToldToDrain() throws Exception {
+    Site.Target one = site.target("s-1");
+    Site.Target two = site.target("s-2");
+    site.start(one, two);
+    HttpExchange watch = site.watch();
+    assertThat(watch.getRequestURI().getQuery()).isEqualTo("follow=1&since=1");
+    Site.tell(watch, Site.list(2, false, "DRAINING", one));
+    // A list that removes nothing else shows that the first one was taken.
+    Site.tell(watch, "no list");
+    watch = site.watch();
+    for (int i = 0; i < 6; i++) {
+      try (Peer client = site.client("d=2000")) {
+        assertThat(client.line()).isEqualTo("UP r-1");
+        assertThat(two.opened()).isNotNull();
+      }
+    }
+    assertThat(one.opened).isEmpty();
+    assertThat(watch.getRequestURI().getQuery()).isEqualTo("follow=1&since=0");
+  }
+
+  @Test
+  void renewsAWatchThatIsRefusedSilentOrEnded() throws Exception {
+    Site.Target one = site.target("s-1");
+    site.start(one);
+    HttpExchange refused = site.watch();
+    refused.sendResponseHeaders(503, -1);
+    refused.close();
+    HttpExchange silent = site.watch();
+    Site.tell(silent, Site.list(7, true, "SERVING", one));
+    long start = System.nanoTime();
+    HttpExchange ended = site.watch();
+    assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start)).isBetween(2000L, 4500L);
+    assertThat(ended.getRequestURI().getQuery()).isEqualTo("follow=1&since=7");
+    Site.tell(ended, "");
+    ended.close();
+    assertThat(site.watch().getRequestURI().getQuery()).isEqualTo("follow=1&since=7");
+  }
+
+  @Test
+  void sendsItsClientsAwayBeforeItStops() throws Exception {
+    Site.Target target = site.target("s-1");
+    site.start(target);
+    List<Peer> clients = new ArrayList<>();
+    for (int i = 0; i < 5; i++) {
+      clients.add(site.client("d=2000"));
+      assertThat(clients.get(i).line()).isEqualTo("UP r-1");
+    }
+    long start = System.nanoTime();
+    site.process.destroy();
+    clients.add(site.client("d=2000"));
+    assertThat(clients.get(5).line()).isEqualTo("UP r-1");
+    for (Peer client : clients) {
+      assertThat(client.line()).isEqualTo("MOVE");
+      assertThat(client.line()).isNull();
+      client.close();
+    }
+    assertThat(site.process.waitFor(Peer.LIMIT_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
+    assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start)).isLessThan(3700);
+    assertThat(site.process.exitValue()).isZero();
+  }
+
+  @Test
+  void answersBusyWhereDescriptorsRunOut() throws Exception {
+    Site.Target target = site.target("s-1");
+    site.config.getAsJsonObject("limits").addProperty("sockets", 96);
+    site.start(target);
+    List<Peer> clients = new ArrayList<>();
+    int served = 0;
+    int busy = 0;
+    for (int i = 0; i < 60; i++) {
+      Peer client = site.client("d=2000");
+      clients.add(client);
+      String answer = client.line();
+      served += answer.startsWith("UP") ? 1 : 0;
+      busy += answer.startsWith("BUSY") ? 1 : 0;
+    }
+    assertThat(served).isGreaterThan(10);
+    assertThat(busy).isEqualTo(60 - served);
+    for (Peer client : clients) {
+      client.close();
+    }
+    // The room that is given back is used again.
+    for (int tries = 0; tries < 100; tries++) {
+      try (Peer client = site.client("d=2000")) {
+        if (client.line().startsWith("UP")) {
+          return;
+        }
+      }
+    }
+    assertThat(false).as("served again").isTrue();
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"", "{", "[]", "{\"settings\":{}}", "{\"settings\":{\"rank\":\"x\"}}"})
+  void saysPlainlyWhatIsWrongWithItsConfiguration(String text) throws Exception {
+    site.launch(text);
+    assertThat(site.process.waitFor(Peer.LIMIT_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
+    assertThat(site.process.exitValue()).isNotZero();
+    assertThat(Files.readAllLines(site.log())).hasSize(1).allMatch(l -> l.startsWith("brassbank:"));
+  }
+}
--- /dev/null
+++ b/src/test/java/brassbank/Site.java
@@ -0,0 +1,215 @@
+package brassbank;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
+
+/** The program as a process, and what it speaks to: targets and discovery, on free ports. */
+final class Site {
+  /** A target: it keeps what opens a flow, and answers that and probes as it is told to. */
+  final class Target {
+    final String name;
+    final ServerSocket socket;
+    final BlockingQueue<Peer> opened = new LinkedBlockingQueue<>();
+    int port;
+    volatile UnaryOperator<String> answer = line -> "UP r-1\r\n";
+
+    Target(String name) throws IOException {
+      this.name = name;
+      socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+      port = socket.getLocalPort();
+      threads.execute(this::accept);
+    }
+
+    private void accept() {
+      try {
+        while (true) {
+          Socket connection = socket.accept();
+          threads.execute(() -> serve(connection));
+        }
+      } catch (IOException e) {
+        // The target has been closed.
+      }
+    }
+
+    private void serve(Socket connection) {
+      try {
+        Peer peer = new Peer(connection);
+        String line = peer.line();
+        for (; line != null && line.equals("STATS"); line = peer.line()) {
+          peer.send("PONG x0=0.1,x1=0,qps=2,eps=0\r\n");
+        }
+        if (line != null && line.startsWith("OPEN")) {
+          peer.first = line;
+          peer.send(answer.apply(line));
+          opened.add(peer);
+          return;
+        }
+        peer.close();
+      } catch (IOException e) {
+        // The proxy has ended the connection.
+      }
+    }
+
+    Peer opened() throws InterruptedException {
+      return opened.poll(Peer.LIMIT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    JsonObject entry(String status) {
+      JsonObject entry = new JsonObject();
+      entry.addProperty("name", name);
+      entry.addProperty("address", "127.0.0.1:" + port);
+      entry.addProperty("zone", "leith");
+      entry.addProperty("type", "fast-box");
+      entry.addProperty("group", 0);
+      entry.addProperty("status", status);
+      entry.addProperty("weight", 1.0);
+      entry.addProperty("since_ms", 0);
+      return entry;
+    }
+
+    void close() throws IOException {
+      socket.close();
+    }
+  }
+
+  private final ExecutorService threads = Executors.newCachedThreadPool();
+  private final HttpServer discovery;
+  private final List<Target> targets = new ArrayList<>();
+  final JsonObject config;
+  final InetSocketAddress address;
+
+  /** Watches as they are opened, each to be written to; what they asked for stands beside. */
+  final BlockingQueue<HttpExchange> watches = new LinkedBlockingQueue<>();
+
+  Process process;
+  private Path file;
+
+  Site() throws IOException {
+    config =
+        JsonParser.parseString(Files.readString(Path.of("example/config.json"))).getAsJsonObject();
+    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      address = new InetSocketAddress("127.0.0.1", free.getLocalPort());
+    }
+    discovery = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 50);
+    discovery.setExecutor(threads);
+    discovery.createContext("/api/targets", watches::add);
+    discovery.start();
+    config.addProperty("listen", "127.0.0.1:" + address.getPort());
+    config.addProperty("discovery", "127.0.0.1:" + discovery.getAddress().getPort());
+  }
+
+  Target target(String name) throws IOException {
+    Target target = new Target(name);
+    targets.add(target);
+    return target;
+  }
+
+  /** Starts the program with these targets known, and waits until it admits clients. */
+  Site start(Target... known) throws IOException, InterruptedException {
+    config.add("known", JsonParser.parseString(list(1, true, "SERVING", known)));
+    launch(config.toString());
+    long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Peer.LIMIT_MILLIS);
+    while (true) {
+      try (Peer front = Peer.to(address).send("PING\r\n")) {
+        if ("PONG".equals(front.line())) {
+          return this;
+        }
+      } catch (java.net.ConnectException e) {
+        if (System.nanoTime() > end || !process.isAlive()) {
+          throw e;
+        }
+        Thread.sleep(10);
+      }
+    }
+  }
+
+  void launch(String text) throws IOException {
+    file = Files.createTempFile("brassbank", ".json");
+    Files.writeString(file, text);
+    ProcessBuilder builder =
+        new ProcessBuilder(
+            Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1",
+            "-Xmx64m",
+            "-XX:MaxDirectMemorySize=16m",
+            "-cp",
+            System.getProperty("java.class.path"),
+            "brassbank.Main",
+            "serve");
+    builder.environment().put("LB_CONFIG", file.toString());
+    process = builder.redirectErrorStream(true).redirectOutput(log().toFile()).start();
+  }
+
+  Path log() {
+    return file.resolveSibling(file.getFileName() + ".log");
+  }
+
+  static String list(long index, boolean whole, String status, Target... of) {
+    JsonObject list = new JsonObject();
+    list.addProperty("index", index);
+    list.addProperty("snapshot", whole);
+    JsonArray entries = new JsonArray();
+    for (Target target : of) {
+      entries.add(target.entry(status));
+    }
+    list.add("endpoints", entries);
+    return list.toString();
+  }
+
+  /** The next watch that the program opens. */
+  HttpExchange watch() throws InterruptedException {
+    HttpExchange watch = watches.poll(Peer.LIMIT_MILLIS, TimeUnit.MILLISECONDS);
+    if (watch == null) {
+      throw new AssertionError("no watch was opened");
+    }
+    return watch;
+  }
+
+  static void tell(HttpExchange watch, String line) throws IOException {
+    if (watch.getResponseCode() < 0) {
+      watch.sendResponseHeaders(200, 0);
+    }
+    OutputStream body = watch.getResponseBody();
+    body.write((line + "\n").getBytes(StandardCharsets.UTF_8));
+    body.flush();
+  }
+
+  /** A client that has sent its first line. */
+  Peer client(String more) throws IOException {
+    return Peer.to(address).send("OPEN 9b1f key-1 c=preview,t=kelvin-stone," + more + "\r\n");
+  }
+
+  void close() throws IOException, InterruptedException {
+    if (process != null) {
+      process.destroyForcibly().waitFor();
+      Files.deleteIfExists(log());
+      Files.deleteIfExists(file);
+    }
+    discovery.stop(0);
+    for (Target target : targets) {
+      target.close();
+    }
+    threads.shutdownNow();
+  }
+}
--- /dev/null
+++ b/src/test/java/brassbank/decide/DeciderTest.java
@@ -0,0 +1,175 @@
+package brassbank.decide;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import ashspar.Balancer;
+import brassbank.config.Config;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class DeciderTest {
+  private static final long UNIX_MILLIS = 1_800_000_000_000L;
+
+  private long nanos;
+  private final FlowClock clock = new FlowClock(() -> nanos, () -> UNIX_MILLIS + nanos / 1_000_000);
+  private Decider decider;
+  private Config config;
+
+  @BeforeEach
+  void start() throws Exception {
+    config = Config.read(Map.of("LB_CONFIG", "example/config.json"));
+    decider = new Decider(config.settings(), 1, config.known(), clock);
+  }
+
+  private static Flow flow(long id, long leftMicros, String at) {
+    return new Flow(id, "key", "preview", null, null, leftMicros, 0, false, false, at);
+  }
+
+  private List<Decision> tickAfter(long micros) {
+    nanos += micros * 1000;
+    return decider.tick(clock.now());
+  }
+
+  private static <T extends Decision> List<T> only(Class<T> type, List<Decision> decisions) {
+    return decisions.stream().filter(type::isInstance).map(type::cast).toList();
+  }
+
+  @Test
+  void givesUpAForwardBeforeTheFinalAnswerAndAnswersAtTheDeadline() {
+    List<Decision> picked = decider.pick(flow(1, 500_000, null));
+    assertThat(only(Decision.Forward.class, picked)).hasSize(1);
+    assertThat(only(Decision.Cancel.class, tickAfter(499_000))).isEmpty();
+    assertThat(tickAfter(1_000))
+        .containsSubsequence(new Decision.Cancel(1), new Decision.FixedResponse(1, 0));
+    assertThat(decider.open()).isZero();
+  }
+
+  @Test
+  void failsAFlowOfAClassThatNobodyKnows() {
+    Flow unknown = new Flow(1, "key", "no-such", null, null, 1000, 0, false, false, null);
+    assertThat(decider.pick(unknown)).containsExactly(new Decision.Fail(1));
+  }
+
+  @Test
+  void movesAStandingConnectionWhoseLineStaysUnanswered() {
+    decider.pick(flow(1, 500_000, null));
+    decider.report(new Happening.Up(1));
+    decider.report(new Happening.Asked(1));
+    nanos += 1_000_000_000L;
+    decider.report(new Happening.Answered(1));
+    assertThat(only(Decision.Move.class, tickAfter(10_000_000))).isEmpty();
+    decider.report(new Happening.Asked(1));
+    assertThat(only(Decision.Move.class, tickAfter(4_000_000))).isEmpty();
+    assertThat(only(Decision.Move.class, tickAfter(1_000_000))).hasSize(1);
+  }
+
+  @Test
+  void waitsForTheListThatNamesAnOpenConnectionsTarget() {
+    assertThat(decider.pick(flow(1, 40_000_000, "s-9"))).containsExactly(new Decision.Hold(1));
+    TargetList.Entry entry =
+        new TargetList.Entry(
+            "s-9",
+            TargetList.address("127.0.0.1:9"),
+            "leith",
+            "m",
+            0,
+            TargetList.Status.DRAINING,
+            1,
+            0);
+    decider.report(new Happening.Listed(new TargetList(2, false, List.of(entry))));
+    assertThat(only(Decision.Forward.class, tickAfter(400_000)))
+        .allMatch(f -> f.target().name().equals("s-9"))
+        .hasSize(1);
+  }
+
+  @Test
+  void mapsUnixTimesToTheModulesClock() {
+    nanos += 5_000_000_000L;
+    assertThat(clock.ofUnixMillis(UNIX_MILLIS + 2_000)).isEqualTo(clock.now() - 3_000_000);
+    assertThat(clock.ofUnixMillis(0)).isZero();
+  }
+
+  /** The ledger's promises, whatever comes in whatever order. */
+  @Test
+  void neverSendsTwoCopiesNorAnswersTwiceNorActsAfterTheEnd() {
+    Random random = new Random(7);
+    Set<Long> out = new HashSet<>();
+    Set<Long> up = new HashSet<>();
+    Set<Long> ended = new HashSet<>();
+    Map<Long, Integer> forwards = new HashMap<>();
+    long flows = 0;
+    for (int step = 0; step < 20_000; step++) {
+      List<Decision> decisions = new ArrayList<>();
+      nanos += random.nextInt(20_000_000);
+      decisions.addAll(decider.tick(clock.now()));
+      check(decisions, out, up, ended, forwards);
+      long id = 1 + (flows == 0 ? 0 : random.nextLong(flows));
+      Ending ending = Ending.values()[random.nextInt(Ending.values().length)];
+      switch (random.nextInt(6)) {
+        case 0 -> decisions = decider.pick(flow(++flows, random.nextInt(3_000_000), null));
+        case 1 -> {
+          if (out.remove(id)) {
+            up.add(id);
+          }
+          decisions = decider.report(new Happening.Up(id));
+        }
+        case 2 -> {
+          boolean over = up.remove(id);
+          if (over) {
+            ended.add(id);
+          }
+          out.remove(id);
+          decisions = decider.report(new Happening.Ended(id, ending));
+        }
+        case 3 -> {
+          decisions = decider.report(new Happening.ClientLeft(id));
+          up.remove(id);
+          if (id <= flows) {
+            ended.add(id);
+          }
+        }
+        case 4 -> decisions = decider.report(new Happening.Asked(id));
+        default -> decisions = decider.report(new Happening.Answered(id));
+      }
+      check(decisions, out, up, ended, forwards);
+    }
+    nanos += 20_000_000_000L;
+    check(decider.tick(clock.now()), out, up, ended, forwards);
+    assertThat(out).isEmpty();
+    assertThat(flows).isGreaterThan(1000);
+    assertThat(forwards.values()).allMatch(n -> n <= config.settings().limits().maxAttempts());
+    assertThat(config.settings().classes().get(0).effect()).isEqualTo(Balancer.Effect.FREE);
+  }
+
+  private static void check(
+      List<Decision> decisions,
+      Set<Long> out,
+      Set<Long> up,
+      Set<Long> ended,
+      Map<Long, Integer> forwards) {
+    for (Decision decision : decisions) {
+      if (decision instanceof Decision.Forward forward) {
+        assertThat(out.add(forward.flow())).as("a second copy").isTrue();
+        assertThat(ended).doesNotContain(forward.flow());
+        assertThat(up).doesNotContain(forward.flow());
+        forwards.merge(forward.flow(), 1, Integer::sum);
+      } else if (decision instanceof Decision.Cancel cancel) {
+        assertThat(out.remove(cancel.flow())).as("a forward to give up").isTrue();
+      } else if (decision instanceof Decision.FixedResponse fixed) {
+        assertThat(out).doesNotContain(fixed.flow());
+        assertThat(up).doesNotContain(fixed.flow());
+        assertThat(ended.add(fixed.flow())).as("a second answer").isTrue();
+      } else if (decision instanceof Decision.Move move) {
+        assertThat(up.remove(move.flow())).as("a connection to move").isTrue();
+        ended.add(move.flow());
+      }
+    }
+  }
+}
