Renew stale load reports on sockets, where no line tells of delay

The log showed a host whose load went from 0.6 to 2.4 at 8 s; one node had not probed it since its start and kept its connections until the host shed them. Checked: a trace of every line. On the simulator's wire note 2 tells of delay once a second; on the sockets hosts echo lines within 30 ms however loaded they are (1010 echoes traced), and send only LOAD and BYE besides. So the module's strain() never runs there. Ruled out: late answers of the proxy (way out 0.2 ms in the median) and probes that fail (all were SERVED in 1 to 16 ms). At fault: Policy.tick, which probes quiesced servers only. It now renews a report older than 2 s of a server that holds own connections, but only where settings say that no delay is told; Config says so for sockets. Endings, moves and changes of the list are logged now, which found this.

--- a/src/main/java/ashspar/Balancer.java
+++ b/src/main/java/ashspar/Balancer.java
@@ -264,7 +264,7 @@
   /** What is taken off the result, each per unit of its own. */
   record Prices(double crossZone, double waste, double probe, double peer, double moves) {}
 
-  /** All that a node is told at its start. */
+  /** All that a node is told at its start; {@code tellsDelay}: notes of kind DELAY come. */
   record Settings(
       int rank,
       int nodes,
@@ -280,7 +280,8 @@
       boolean asks,
       boolean passThrough,
       double overShareWorth,
-      long tick) {
+      long tick,
+      boolean tellsDelay) {
     public Settings {
       require(nodes >= 1, "there is at least one node");
       require(rank >= 0, "a node's rank must not be negative");
--- a/src/main/java/ashspar/Policy.java
+++ b/src/main/java/ashspar/Policy.java
@@ -63,6 +63,13 @@
   /** Age up to which a report is as good as a new one, so that no probe is spent. */
   private static final long FRESH = 600 * MS;
 
+  /**
+   * Age from which a report is renewed for a server that holds connections of this node. Few
+   * placements bring few probes, and where no note tells of delay a server that had slowed down
+   * kept its connections until the next placement happened to look at it.
+   */
+  private static final long STALE = 2 * SECOND;
+
   /** Share of the result that probes may cost, in points of it: the budget follows the price. */
   private static final double PROBE_SPEND = 0.012;
 
@@ -1002,6 +1009,8 @@
         } else {
           restore(s);
         }
+      } else if (!settings.tellsDelay() && !s.open.isEmpty() && now - s.reportAt >= STALE) {
+        probe(s);
       }
     }
     recompute();
--- a/src/main/java/ashspar/wire/SettingsReader.java
+++ b/src/main/java/ashspar/wire/SettingsReader.java
@@ -55,7 +55,8 @@
         "ask".equals(text("discovery", "push")),
         "pass".equals(text("extra.mode", "proxy")),
         number("over-share-worth", 1),
-        whole("resolution", 1));
+        whole("resolution", 1),
+        flag("extra.tells-delay"));
   }
 
   private List<Balancer.RequestClass> classes() {
--- a/src/main/java/brassbank/config/Config.java
+++ b/src/main/java/brassbank/config/Config.java
@@ -69,6 +69,8 @@
     }
     Map<String, String> flat = new LinkedHashMap<>();
     flatten("", json.get("settings"), flat);
+    // On sockets no line tells of delay, whatever the settings say of the simulator's wire.
+    flat.put("extra.tells-delay", "false");
     Balancer.Settings settings = SettingsReader.read(flat);
     TargetList known =
         json.has("known") && json.get("known").isJsonObject()
--- a/src/main/java/brassbank/decide/Decider.java
+++ b/src/main/java/brassbank/decide/Decider.java
@@ -244,9 +244,13 @@
       return;
     }
     if (entry.stage == Stage.UP) {
+      if (ended.ending() == Ending.RESET) {
+        LOG.info("a connection to " + entry.target.name() + " was broken");
+      }
       close(entry);
       outcome(entry, ended.ending(), true);
     } else {
+      LOG.info("a forward to " + entry.target.name() + " ended: " + ended.ending());
       entry.stage = Stage.HELD;
       outcome(entry, ended.ending(), false);
     }
@@ -399,6 +403,7 @@
       case UNANSWERED -> {
         if (entry.stage == Stage.UP && entry.askedAt > 0) {
           if (now - entry.askedAt >= UNANSWERED_LIMIT) {
+            LOG.info("no answer on a connection to " + entry.target.name() + ": it is moved");
             close(entry);
             out.add(new Decision.Move(entry.flow.id()));
             outcome(entry, Ending.RESET, true);
@@ -474,6 +479,9 @@
             case DRAINING -> Balancer.State.DRAINING;
             case DELETED -> Balancer.State.GONE;
           };
+      if (kind == Balancer.ListKind.DELTA) {
+        LOG.info(entry.name() + " is " + entry.status() + " since " + entry.sinceMillis());
+      }
       if (state == Balancer.State.GONE) {
         group.remove(entry.name());
         delays.remove(entry.name());
@@ -546,6 +554,7 @@
     public void move(long id) {
       Entry entry = standing(id);
       if (entry != null) {
+        LOG.info("a connection is moved off " + entry.target.name());
         moveAway(entry);
       }
     }
--- a/src/test/java/ashspar/EmbeddingExample.java
+++ b/src/test/java/ashspar/EmbeddingExample.java
@@ -83,7 +83,8 @@
             false, // discovery pushes its changes
             true,
             1,
-            1_000);
+            1_000,
+            true); // the network tells of delay
     MyActions actions = new MyActions();
     long now = 1_000_000;
     Balancer balancer = new Policy(now, settings, 42, actions);
--- a/src/test/java/ashspar/PolicyTest.java
+++ b/src/test/java/ashspar/PolicyTest.java
@@ -548,4 +548,22 @@
       assertEquals("s0", script.last(1).server());
     }
   }
+
+  /** A host that slowed down kept its connections: no note told of it, and no placement looked. */
+  @Test
+  void aStaleReportIsRenewedWhereNoNoteTellsOfDelay() {
+    for (boolean tells : new boolean[] {true, false}) {
+      Script.Setup setup = new Script.Setup();
+      setup.tellsDelay = tells;
+      Script script = settled(setup, 1);
+      script.request(1);
+      script.answerProbes(Status.OK, 0.5);
+      script.accepted(1);
+      script.probes.clear();
+      script.pass(1 * SECOND);
+      assertEquals(0, script.probes.size(), "the report is still good");
+      script.pass(4 * SECOND);
+      assertEquals(tells ? 0 : 1, script.probes.size());
+    }
+  }
 }
--- a/src/test/java/ashspar/Script.java
+++ b/src/test/java/ashspar/Script.java
@@ -65,6 +65,7 @@
     boolean probes = true;
     boolean peers = false;
     boolean asks = false;
+    boolean tellsDelay = true;
     int maxAttempts = 4;
     double probePrice = 0.002;
     double coldShare = 0.3;
@@ -91,7 +92,8 @@
           asks,
           true,
           0.1,
-          2 * MS);
+          2 * MS,
+          tellsDelay);
     }
   }
 
