--- /dev/null
+++ b/src/main/java/brassbank/target/Dispatcher.java
@@ -0,0 +1,249 @@
+package brassbank.target;
+
+import brassbank.decide.Decider;
+import brassbank.decide.Decision;
+import brassbank.decide.Ending;
+import brassbank.decide.Flow;
+import brassbank.decide.FlowClock;
+import brassbank.decide.Happening;
+import brassbank.decide.Target;
+import brassbank.log.Log;
+import brassbank.net.Link;
+import brassbank.net.Loop;
+import brassbank.net.Net;
+import brassbank.net.Pair;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Supplier;
+
+/**
+ * Where decisions meet the network: hands the facade what fronts, targets and discovery bring, and
+ * carries out what it returns. Everything here runs on the selector thread.
+ */
+public final class Dispatcher {
+  private static final Log LOG = Log.of("dispatcher");
+  private static final long MILLI = 1_000;
+
+  /** What keeps the target group up to date. */
+  public interface Group {
+    void watch(boolean on);
+
+    void fetch();
+  }
+
+  private final Decider decider;
+  private final FlowClock clock;
+  private final Net net;
+  private final long connectMicros;
+  private final Prober prober;
+  private final Map<Long, Session> sessions = new HashMap<>();
+  private final Deque<Decision> todo = new ArrayDeque<>();
+  private boolean carrying;
+  private Group group;
+  private Loop.Timer timer;
+  private long armedFor = Long.MAX_VALUE;
+
+  public Dispatcher(
+      Decider decider,
+      FlowClock clock,
+      Net net,
+      long connectMicros,
+      long idleMicros,
+      List<String> reportFields) {
+    this.decider = decider;
+    this.clock = clock;
+    this.net = net;
+    this.connectMicros = connectMicros;
+    this.prober = new Prober(net, connectMicros, idleMicros, reportFields, this::probed);
+  }
+
+  /** Begins with what the facade decided when it was made. */
+  public void start(Group targetGroup) {
+    group = targetGroup;
+    tick();
+  }
+
+  /** Whether clients can be served. */
+  public boolean ready() {
+    return decider.ready();
+  }
+
+  /** A front's new flow; the client is told its answer. */
+  public void submit(Flow flow, Client client) {
+    if (net.full()) {
+      // Without a descriptor there is nothing to decide: refused while there is room to say so.
+      client.refuse(0);
+      return;
+    }
+    sessions.put(flow.id(), new Session(flow.id(), client));
+    decide(() -> decider.pick(flow));
+  }
+
+  /** A client has left before it had its answer. */
+  public void clientLeft(long flow) {
+    Session session = sessions.remove(flow);
+    if (session != null && session.forward != null) {
+      session.forward.cancel();
+    }
+    report(new Happening.ClientLeft(flow));
+  }
+
+  public void report(Happening happening) {
+    decide(() -> decider.report(happening));
+  }
+
+  private void probed(Target target, Ending ending, long elapsedMicros, List<Double> report) {
+    report(new Happening.Probed(target.name(), ending, elapsedMicros, report));
+  }
+
+  private void tick() {
+    timer = null;
+    armedFor = Long.MAX_VALUE;
+    decide(() -> decider.tick(clock.now()));
+  }
+
+  /** Carrying a decision out may bring news at once: what follows from it waits for its turn. */
+  private void decide(Supplier<List<Decision>> call) {
+    try {
+      todo.addAll(call.get());
+    } catch (RuntimeException e) {
+      LOG.error("the decisions have failed", e);
+    }
+    if (carrying) {
+      return;
+    }
+    carrying = true;
+    try {
+      for (Decision next = todo.poll(); next != null; next = todo.poll()) {
+        Decision decision = next;
+        Loop.guarded(() -> carryOut(decision));
+      }
+    } finally {
+      carrying = false;
+      arm();
+    }
+  }
+
+  private void arm() {
+    long due = decider.nextTick();
+    if (due < armedFor) {
+      if (timer != null) {
+        timer.cancel();
+      }
+      armedFor = due;
+      timer = net.loop().after(due - clock.now(), this::tick);
+    }
+  }
+
+  /** A decision on a flow whose client has left meanwhile finds no session and is void. */
+  private void carryOut(Decision decision) {
+    if (decision instanceof Decision.Forward forward) {
+      Session session = sessions.get(forward.flow());
+      if (session != null) {
+        session.forward(forward.target(), forward.until());
+      }
+    } else if (decision instanceof Decision.Cancel cancel) {
+      Session session = sessions.get(cancel.flow());
+      if (session != null) {
+        session.forward.cancel();
+      }
+    } else if (decision instanceof Decision.FixedResponse fixed) {
+      Session session = sessions.remove(fixed.flow());
+      if (session != null) {
+        session.client.refuse(fixed.retryMillis());
+      }
+    } else if (decision instanceof Decision.Fail fail) {
+      Session session = sessions.remove(fail.flow());
+      if (session != null) {
+        session.client.fail();
+      }
+    } else if (decision instanceof Decision.Move move) {
+      Session session = sessions.remove(move.flow());
+      if (session != null) {
+        session.pair.farewell(session.client.farewell());
+      }
+    } else if (decision instanceof Decision.Probe probe) {
+      prober.probe(probe.target());
+    } else if (decision instanceof Decision.Watch watch) {
+      group.watch(watch.on());
+    } else if (decision instanceof Decision.Fetch) {
+      group.fetch();
+    }
+  }
+
+  /** One flow, from its first line to its final answer or to the end of its connection. */
+  private final class Session implements Forward.Listener, Pair.Watcher {
+    private final long flow;
+    private final Client client;
+    private Forward forward;
+    private String target;
+    private Pair pair;
+
+    /** How the connection has ended if the target ends it now: its last line may say. */
+    private Ending ending = Ending.RESET;
+
+    Session(long flow, Client client) {
+      this.flow = flow;
+      this.client = client;
+    }
+
+    void forward(Target to, long until) {
+      target = to.name();
+      forward =
+          new Forward(
+              net, to, () -> client.opening(Math.max(0, (until - clock.now()) / MILLI)), this);
+      // A connect that is given up with its forward never came up: that is told just before.
+      long left = Math.max(0, until - clock.now() - MILLI);
+      forward.start(Math.min(connectMicros, left));
+    }
+
+    @Override
+    public void up(String line, Link targetLink) {
+      pair = new Pair(net, client.up(line), targetLink, this);
+      report(new Happening.Up(flow));
+      pair.start();
+    }
+
+    @Override
+    public void ended(Ending how) {
+      report(new Happening.Ended(flow, how));
+    }
+
+    @Override
+    public void clientLine(String line) {
+      report(new Happening.Asked(flow));
+    }
+
+    @Override
+    public void targetLine(String line) {
+      int space = line.indexOf(' ');
+      switch (space < 0 ? line : line.substring(0, space)) {
+        case "LOAD" -> load(line.substring(space + 1));
+        case "BYE" -> ending = Ending.SERVED;
+        case "MOVE" -> ending = Ending.CANCELLED;
+        default -> report(new Happening.Answered(flow));
+      }
+    }
+
+    private void load(String text) {
+      try {
+        report(new Happening.Load(flow, LoadReport.number(text)));
+      } catch (IllegalArgumentException e) {
+        LOG.warn(target + " told a bad load: " + text);
+      }
+    }
+
+    @Override
+    public void ended(boolean byClient, boolean reset) {
+      sessions.remove(flow);
+      if (byClient && ending == Ending.RESET) {
+        report(new Happening.ClientLeft(flow));
+      } else {
+        report(new Happening.Ended(flow, ending));
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/brassbank/target/Forward.java
@@ -0,0 +1,111 @@
+package brassbank.target;
+
+import brassbank.decide.Ending;
+import brassbank.decide.Target;
+import brassbank.log.Log;
+import brassbank.net.Link;
+import brassbank.net.Net;
+import java.nio.charset.StandardCharsets;
+import java.util.function.Supplier;
+
+/**
+ * One attempt of a flow at a target, from its connect to the target's first line. It owns the
+ * target's link until the target serves, and gives it back in {@link #cancel}.
+ */
+final class Forward implements Link.Owner, Net.Connected<Link> {
+  private static final Log LOG = Log.of("forward");
+
+  /** What becomes of a forward: one of the two is told, unless it is cancelled before. */
+  interface Listener {
+    /** The target serves: from here on its link is the listener's. */
+    void up(String line, Link target);
+
+    void ended(Ending ending);
+  }
+
+  private final Net net;
+  private final Target target;
+  private final Supplier<String> opening;
+  private final Listener listener;
+  private Net.Connecting connecting;
+  private Link link;
+  private boolean sent;
+  private boolean over;
+
+  /** {@code opening} gives the first line once the connection is up: its time runs till then. */
+  Forward(Net net, Target target, Supplier<String> opening, Listener listener) {
+    this.net = net;
+    this.target = target;
+    this.opening = opening;
+    this.listener = listener;
+  }
+
+  void start(long connectMicros) {
+    connecting = net.connect(target.address(), connectMicros, this, this);
+  }
+
+  @Override
+  public void up(Link connected) {
+    link = connected;
+    String line = opening.get() + "\r\n";
+    // Only a line whose last byte has been written may have run.
+    link.send(line.getBytes(StandardCharsets.ISO_8859_1), () -> sent = true);
+  }
+
+  @Override
+  public void failed(Throwable cause) {
+    end(Ending.CONNECT_FAILED);
+  }
+
+  @Override
+  public void received(Link from) {
+    String line = link.buffer().nextLine();
+    if (link.buffer().overlong()) {
+      LOG.warn("the answer of " + target.name() + " is too long");
+      end(Ending.ERROR);
+    } else if (line != null) {
+      answered(line);
+    }
+  }
+
+  private void answered(String line) {
+    int space = line.indexOf(' ');
+    switch (space < 0 ? line : line.substring(0, space)) {
+      case "UP" -> {
+        over = true;
+        listener.up(line, link);
+      }
+      case "BUSY" -> end(Ending.BUSY);
+      case "MOVE" -> end(Ending.CANCELLED);
+      case "ERR" -> end(Ending.ERROR);
+      default -> {
+        LOG.warn(target.name() + " gave a bad answer: " + line);
+        end(Ending.ERROR);
+      }
+    }
+  }
+
+  @Override
+  public void ended(Link from, boolean reset) {
+    end(sent ? Ending.RESET : Ending.CONNECT_FAILED);
+  }
+
+  private void end(Ending ending) {
+    if (!over) {
+      cancel();
+      listener.ended(ending);
+    }
+  }
+
+  /** Gives the attempt up. A line that is not out yet never goes out. */
+  void cancel() {
+    over = true;
+    if (link == null) {
+      connecting.cancel();
+    } else if (sent) {
+      link.close();
+    } else {
+      link.reset();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/brassbank/target/Prober.java
@@ -0,0 +1,186 @@
+package brassbank.target;
+
+import brassbank.decide.Ending;
+import brassbank.decide.Target;
+import brassbank.log.Log;
+import brassbank.net.Link;
+import brassbank.net.Loop;
+import brassbank.net.Net;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** Asks targets for their load, on connections that are kept for the next probe for a while. */
+final class Prober {
+  private static final Log LOG = Log.of("probe");
+
+  /** A probe that takes longer says enough; a silent machine would never answer. */
+  private static final long LIMIT_MICROS = 250_000;
+
+  private static final byte[] STATS = "STATS\r\n".getBytes(StandardCharsets.US_ASCII);
+
+  /** Who is told how a probe ended, once each. */
+  interface Listener {
+    void probed(Target target, Ending ending, long elapsedMicros, List<Double> report);
+  }
+
+  private final Net net;
+  private final long connectMicros;
+  private final long idleMicros;
+  private final List<String> fields;
+  private final Listener listener;
+
+  /** The connections that wait for a next probe; none of these lists is empty. */
+  private final Map<InetSocketAddress, Deque<Kept>> kept = new HashMap<>();
+
+  Prober(Net net, long connectMicros, long idleMicros, List<String> fields, Listener listener) {
+    this.net = net;
+    this.connectMicros = Math.min(connectMicros, LIMIT_MICROS);
+    // Sooner than the target, so that no probe goes into a connection that is just being closed.
+    this.idleMicros = idleMicros - idleMicros / 5;
+    this.fields = fields;
+    this.listener = listener;
+  }
+
+  void probe(Target target) {
+    new Probe(target).start();
+  }
+
+  /** One question to one target. It owns its connection and gives it back in {@link #giveBack}. */
+  private final class Probe implements Link.Owner, Net.Connected<Link> {
+    private final Target target;
+    private final long startedAt = System.nanoTime();
+    private Loop.Timer limit;
+    private Net.Connecting connecting;
+    private Link link;
+    private boolean sent;
+    private boolean over;
+
+    Probe(Target target) {
+      this.target = target;
+    }
+
+    void start() {
+      limit = net.loop().after(LIMIT_MICROS, this::overdue);
+      Deque<Kept> idle = kept.get(target.address());
+      if (idle != null) {
+        up(idle.peek().take());
+      } else {
+        connecting = net.connect(target.address(), connectMicros, this, this);
+      }
+    }
+
+    private void overdue() {
+      end(link == null ? Ending.CONNECT_FAILED : Ending.TIMED_OUT, List.of());
+    }
+
+    @Override
+    public void up(Link connected) {
+      link = connected;
+      link.owner(this);
+      link.send(STATS, () -> sent = true);
+    }
+
+    @Override
+    public void failed(Throwable cause) {
+      end(Ending.CONNECT_FAILED, List.of());
+    }
+
+    @Override
+    public void received(Link from) {
+      String line = link.buffer().nextLine();
+      if (link.buffer().overlong()) {
+        bad("a line that is too long");
+      } else if (line != null) {
+        answered(line);
+      }
+    }
+
+    private void answered(String line) {
+      if (line.equals("PONG") || line.startsWith("PONG ")) {
+        try {
+          String text = line.substring("PONG".length()).trim();
+          end(Ending.SERVED, text.isEmpty() ? List.of() : LoadReport.parse(text, fields));
+        } catch (IllegalArgumentException e) {
+          bad(line);
+        }
+      } else if (line.equals("ERR") || line.startsWith("ERR ")) {
+        end(Ending.ERROR, List.of());
+      } else {
+        bad(line);
+      }
+    }
+
+    private void bad(String line) {
+      LOG.warn(target.name() + " gave a bad answer: " + line);
+      end(Ending.ERROR, List.of());
+    }
+
+    @Override
+    public void ended(Link from, boolean reset) {
+      end(sent ? Ending.RESET : Ending.CONNECT_FAILED, List.of());
+    }
+
+    private void end(Ending ending, List<Double> report) {
+      if (!over) {
+        over = true;
+        giveBack(ending == Ending.SERVED);
+        long elapsed = TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - startedAt);
+        listener.probed(target, ending, elapsed, report);
+      }
+    }
+
+    private void giveBack(boolean usable) {
+      limit.cancel();
+      if (link == null) {
+        connecting.cancel();
+      } else if (usable) {
+        new Kept(target.address(), link).keep();
+      } else {
+        link.close();
+      }
+    }
+  }
+
+  /** A connection between two probes. */
+  private final class Kept implements Link.Owner {
+    private final InetSocketAddress address;
+    private final Link link;
+    private Loop.Timer idle;
+
+    Kept(InetSocketAddress address, Link link) {
+      this.address = address;
+      this.link = link;
+    }
+
+    void keep() {
+      link.owner(this);
+      link.buffer().passFromHere();
+      kept.computeIfAbsent(address, a -> new ArrayDeque<>()).push(this);
+      idle = net.loop().after(idleMicros, () -> take().close());
+    }
+
+    /** Takes the connection off the list; it is the caller's from here on. */
+    Link take() {
+      idle.cancel();
+      kept.computeIfPresent(address, (a, all) -> all.remove(this) && all.isEmpty() ? null : all);
+      return link;
+    }
+
+    @Override
+    public void received(Link from) {
+      LOG.warn("a target at " + address + " sent a line that nobody asked for");
+      take().close();
+    }
+
+    @Override
+    public void ended(Link from, boolean reset) {
+      take();
+    }
+  }
+}
