Answer PING once a target is known; take the whole list after a bad line

Seen: a PING sent before any target was known never got its PONG, and the front's connection ended after 10 s with "no first line" (admitsClientsOnceATargetIsKnown, failing first). After a bad line the watch was renewed from version 0, which may bring changes instead of the whole list (sendsNothingToATargetThatIsToldToDrain, now asking for the whole list, failed on "follow=1&since=0"). At fault: Front.Session.first, which sent PONG only at that moment; Discovery.take, which had no call for the whole list.

--- a/example/Toy.java
+++ b/example/Toy.java
@@ -77,7 +77,7 @@
         if (line.equals("PING")) {
           answer = "PONG";
         } else if (line.equals("STATS")) {
-          answer = "PONG x0=0.1,x1=0,qps=1,eps=0";
+          answer = "PONG x0=0.1,x1=0,throughput=1,errors_per_s=0";
         } else if (line.startsWith("OPEN ")) {
           System.out.println(connection.getLocalPort() + " takes " + line);
           answer = "UP r-" + ++receipts;
--- a/src/main/java/brassbank/discovery/Discovery.java
+++ b/src/main/java/brassbank/discovery/Discovery.java
@@ -97,14 +97,11 @@
   private void take(String line) {
     TargetList list = read(line);
     if (list == null) {
-      // What the line would have changed is not known: the whole list is taken instead.
-      index = 0;
-      watch.fail("a line that is no list");
+      gap("a line that is no list");
       return;
     }
     if (!list.whole() && list.index() < index) {
-      index = 0;
-      watch.fail("changes older than the list");
+      gap("changes older than the list");
       return;
     }
     pause = FIRST_PAUSE_MICROS;
@@ -112,6 +109,13 @@
     dispatcher.report(new Happening.Listed(list));
   }
 
+  /** What has changed is not known any longer: the whole list is taken, whatever its index. */
+  private void gap(String why) {
+    index = 0;
+    watch.fail(why);
+    fetch();
+  }
+
   private static TargetList read(String line) {
     try {
       return TargetList.parse(JsonParser.parseString(line).getAsJsonObject());
--- a/src/main/java/brassbank/front/Front.java
+++ b/src/main/java/brassbank/front/Front.java
@@ -24,6 +24,7 @@
   private static final long PATIENCE_NANOS = 1_000_000_000;
 
   private static final long CLEAR_MICROS = 100_000;
+  private static final long READY_MICROS = 50_000;
 
   private final Net net;
   private final Dispatcher dispatcher;
@@ -104,6 +105,15 @@
       }
     }
 
+    /** PONG brings clients: it waits until a target is known. */
+    private void admit() {
+      if (dispatcher.ready()) {
+        link.send("PONG");
+      } else if (link.isOpen()) {
+        net.loop().after(READY_MICROS, this::admit);
+      }
+    }
+
     private void spoke() {
       silent.remove(this);
       firstLine.cancel();
@@ -112,9 +122,7 @@
     private void first(String line) {
       spoke();
       if (line.equals("PING")) {
-        if (dispatcher.ready()) {
-          link.send("PONG");
-        }
+        admit();
         awaitLine();
         return;
       }
--- a/src/main/java/brassbank/target/LoadReport.java
+++ b/src/main/java/brassbank/target/LoadReport.java
@@ -7,16 +7,6 @@
 
 /** A load report on the wire, {@code NAME=VALUE,...}, put in the order that the settings give. */
 final class LoadReport {
-  /** Values whose names on the sockets are not those of the settings. */
-  private static final Map<String, String> NAMES =
-      Map.of(
-          "inflight", "outstanding",
-          "queue", "backlog",
-          "util", "utilization",
-          "latency_ms", "recent_ms",
-          "qps", "throughput",
-          "eps", "errors_per_s");
-
   private LoadReport() {}
 
   /** The values of these fields, NaN where one is missing; throws where the text is malformed. */
@@ -27,10 +17,7 @@
       if (equals <= 0) {
         throw new IllegalArgumentException("no name and value: " + pair);
       }
-      String name = pair.substring(0, equals);
-      double value = number(pair.substring(equals + 1));
-      values.put(name, value);
-      values.put(NAMES.getOrDefault(name, name), value);
+      values.put(pair.substring(0, equals), number(pair.substring(equals + 1)));
     }
     List<Double> report = new ArrayList<>(fields.size());
     fields.forEach(field -> report.add(values.getOrDefault(field, Double.NaN)));
--- a/src/test/java/brassbank/ProxyTest.java
+++ b/src/test/java/brassbank/ProxyTest.java
@@ -291,8 +291,12 @@
     HttpExchange watch = site.watch();
     assertThat(watch.getRequestURI().getQuery()).isEqualTo("follow=1&since=1");
     Site.tell(watch, Site.list(2, false, "DRAINING", one));
-    // A list that removes nothing else shows that the first one was taken.
+    // A bad line fails the watch: what it would have changed is learnt from the whole list.
     Site.tell(watch, "no list");
+    HttpExchange whole = site.watch();
+    assertThat(whole.getRequestURI().getQuery()).isNull();
+    Site.tell(whole, Site.list(9, true, "SERVING", two));
+    whole.close();
     watch = site.watch();
     for (int i = 0; i < 6; i++) {
       try (Peer client = site.client("d=2000")) {
@@ -301,7 +305,22 @@
       }
     }
     assertThat(one.opened).isEmpty();
-    assertThat(watch.getRequestURI().getQuery()).isEqualTo("follow=1&since=0");
+    assertThat(watch.getRequestURI().getQuery()).isEqualTo("follow=1&since=9");
+  }
+
+  /** A front that asked before any target was known was left without an answer for good. */
+  @Test
+  void admitsClientsOnceATargetIsKnown() throws Exception {
+    Site.Target one = site.target("s-1");
+    site.config.add("known", null);
+    site.launch(site.config.toString());
+    HttpExchange watch = site.watch();
+    try (Peer front = Peer.to(site.address).send("PING\r\n");
+        Peer later = Peer.to(site.address).send("nonsense\r\n")) {
+      assertThat(later.line()).startsWith("ERR");
+      Site.tell(watch, Site.list(1, true, "SERVING", one));
+      assertThat(front.line()).isEqualTo("PONG");
+    }
   }
 
   @Test
--- a/src/test/java/brassbank/Site.java
+++ b/src/test/java/brassbank/Site.java
@@ -56,7 +56,7 @@
         Peer peer = new Peer(connection);
         String line = peer.line();
         for (; line != null && line.equals("STATS"); line = peer.line()) {
-          peer.send("PONG x0=0.1,x1=0,qps=2,eps=0\r\n");
+          peer.send("PONG x0=0.1,x1=0,throughput=2,errors_per_s=0\r\n");
         }
         if (line != null && line.startsWith("OPEN")) {
           peer.first = line;
