Tell refused clients when the module's own pause ends, so that BUSY carries a time

Seen: every BUSY came without a time, though the settings allow one: the module refused with 0 always (Policy.answer), even while it pauses after errors and would not send the same client on if it came back at once. Ruled out: a time for a full fleet, of which the module knows no end.

--- a/src/main/java/ashspar/Policy.java
+++ b/src/main/java/ashspar/Policy.java
@@ -822,12 +822,20 @@
             || h.type.effect() == Effect.FREE
             || (h.type.effect() == Effect.GUARDED && h.type.group() == Group.ALL);
     if (harmless) {
-      actions.refuse(h.request.id(), 0);
+      actions.refuse(h.request.id(), comeBack());
     } else {
       actions.fail(h.request.id());
     }
   }
 
+  /** When a refused client is to come again: not before this node sends again itself. */
+  private long comeBack() {
+    if (!settings.limits().retryAfter()) {
+      return 0;
+    }
+    return Math.min(Math.max(0, pausedUntil - now), settings.limits().maxRetryAfter());
+  }
+
   private void forget(Held h) {
     requests.remove(h.request.id());
     if (h.at != null && !h.established) {
--- a/src/test/java/ashspar/PolicyTest.java
+++ b/src/test/java/ashspar/PolicyTest.java
@@ -566,4 +566,26 @@
       assertEquals(tells ? 0 : 1, script.probes.size());
     }
   }
+
+  /**
+   * A refusal said nothing of the pause that the node itself keeps, and its client came at once.
+   */
+  @Test
+  void aRefusalTellsWhenThisNodeSendsAgain() {
+    for (long most : new long[] {0, 40 * MS, 2 * SECOND}) {
+      Script.Setup setup = new Script.Setup();
+      setup.maxAttempts = 1;
+      setup.maxRetryAfter = most;
+      Script script = new Script(setup.settings());
+      script.list(2);
+      script.request(1);
+      script.outcome(1, Status.ERROR, false);
+      assertEquals(List.of(1L), script.refused);
+      long told = script.retryAfter.get(0);
+      assertTrue(told <= most && (told > 0 || most == 0), told + " of at most " + most);
+      script.pass(told);
+      script.request(2);
+      assertEquals(most > SECOND, script.attempts.containsKey(2L), "sent once it came back");
+    }
+  }
 }
