Renew stale reports at every second tick; they came at every third

A trace of probes shows one node asking the host that slowed down at 2.09, 5.09, 8.09 s: it learnt of load 3.1 at 8.09 s and the host shed its connections at 8.8. Checked: a report is STALE after 2 s and looked at each second; its answer comes some milliseconds after the tick, so that two ticks on it was 1.99 s old. Ruled out: failing or slow probes (all SERVED, 1 to 30 ms) and the names of the report's values (right in the trace). At fault: Policy.STALE; 1.5 s now, which is what its comment meant by 2 s. aStaleReportIsRenewedAtEverySecondTick failed first with 4 probes in 12 s.

--- a/src/main/java/ashspar/Policy.java
+++ b/src/main/java/ashspar/Policy.java
@@ -66,9 +66,10 @@
   /**
    * Age from which a report is renewed for a server that holds connections of this node. Few
    * placements bring few probes, and where no note tells of delay a server that had slowed down
-   * kept its connections until the next placement happened to look at it.
+   * kept its connections until the next placement happened to look at it. It is looked at each
+   * INTERVAL: at every second one, a report that came some milliseconds after the last is stale.
    */
-  private static final long STALE = 2 * SECOND;
+  private static final long STALE = 3 * INTERVAL / 2;
 
   /** Share of the result that probes may cost, in points of it: the budget follows the price. */
   private static final double PROBE_SPEND = 0.012;
--- a/src/test/java/ashspar/PolicyTest.java
+++ b/src/test/java/ashspar/PolicyTest.java
@@ -567,6 +567,24 @@
     }
   }
 
+  /** An answer takes some ms, so that at the second tick it was just not stale: 3 s went by. */
+  @Test
+  void aStaleReportIsRenewedAtEverySecondTick() {
+    Script.Setup setup = new Script.Setup();
+    setup.tellsDelay = false;
+    Script script = settled(setup, 1);
+    script.request(1);
+    script.answerProbes(Status.OK, 0.5);
+    script.accepted(1);
+    int probes = 0;
+    for (long passed = 0; passed < 12 * SECOND; passed += 5 * MS) {
+      script.pass(5 * MS);
+      probes += script.probes.size();
+      script.answerProbes(Status.OK, 0.5);
+    }
+    assertTrue(probes >= 5, probes + " probes in 12 s");
+  }
+
   /**
    * A refusal said nothing of the pause that the node itself keeps, and its client came at once.
    */
