Test probes and load reports, which the rewritten package had no test of

Seen: no test looked at what a probe brings: a bad report, or the connection that is kept for the next one. Ruled out: nothing was at fault in Prober or LoadReport; no program code changes.

--- a/src/test/java/brassbank/ProxyTest.java
+++ b/src/test/java/brassbank/ProxyTest.java
@@ -283,6 +283,25 @@
     assertThat(one.opened).isEmpty();
   }
 
+  /** A bad answer to a probe fails that probe alone; a good one lets its connection be used on. */
+  @ParameterizedTest
+  @ValueSource(strings = {"PONG x0=many\r\n", "PONG x0=0.1\r\n"})
+  void servesOnWhateverAProbeBrings(String stats) throws Exception {
+    Site.Target target = site.target("s-1");
+    target.stats = stats;
+    site.start(target);
+    try (Peer client = site.client("d=2000")) {
+      assertThat(client.line()).isEqualTo("UP r-1");
+      // The report of a target that holds a connection is renewed every 2 s.
+      Peer first = target.probes.poll(Peer.LIMIT_MILLIS, TimeUnit.MILLISECONDS);
+      Peer next = target.probes.poll(Peer.LIMIT_MILLIS, TimeUnit.MILLISECONDS);
+      assertThat(next).isNotNull();
+      assertThat(next == first).isEqualTo(stats.equals("PONG x0=0.1\r\n"));
+      client.send("m 1\r\n");
+      assertThat(target.opened().line()).isEqualTo("m 1");
+    }
+  }
+
   @Test
   void sendsNothingToATargetThatIsToldToDrain() throws Exception {
     Site.Target one = site.target("s-1");
--- a/src/test/java/brassbank/Site.java
+++ b/src/test/java/brassbank/Site.java
@@ -29,8 +29,13 @@
   final class Target {
     final String name;
     final ServerSocket socket;
+
+    /** The connection of each probe, as often as it brought one. */
+    final BlockingQueue<Peer> probes = new LinkedBlockingQueue<>();
+
     final BlockingQueue<Peer> opened = new LinkedBlockingQueue<>();
     int port;
+    volatile String stats = "PONG x0=0.1,x1=0,throughput=2,errors_per_s=0\r\n";
     volatile UnaryOperator<String> answer = line -> "UP r-1\r\n";
 
     Target(String name) throws IOException {
@@ -56,7 +61,7 @@
         Peer peer = new Peer(connection);
         String line = peer.line();
         for (; line != null && line.equals("STATS"); line = peer.line()) {
-          peer.send("PONG x0=0.1,x1=0,throughput=2,errors_per_s=0\r\n");
+          probes.add(peer.send(stats));
         }
         if (line != null && line.startsWith("OPEN")) {
           peer.first = line;
