--- a/src/test/java/brassbank/Site.java
+++ b/src/test/java/brassbank/Site.java
@@ -167,7 +167,7 @@
   }
 
   void signal(String name) throws IOException, InterruptedException {
-    new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid())).start().waitFor();
+    new ProcessBuilder("sh", "-c", "kill -" + name + " " + process.pid()).start().waitFor();
   }
 
   Path log() {
