Pause for errors of many flows only; rest hosts whose probes fail; caps by the memory stated

At fault: Policy.outcome (errorPause), probed, the fixed COOL_DOWN; deploy/balancer.toml, whose caps summed up to all of 144 MB whatever the limit.

--- a/src/main/java/ashspar/Policy.java
+++ b/src/main/java/ashspar/Policy.java
@@ -139,6 +139,20 @@
 
   private static final long ERROR_PAUSE_MOST = 4_000 * MS;
 
+  /** Weight of one flow in the share of flows that end in errors, and the share that is a pause. */
+  private static final double ERROR_STEP = 0.125;
+
+  private static final double ERROR_SHARE = 0.3;
+
+  /** Rest of a server that answered a probe with an error. */
+  private static final long PROBE_REST = SECOND;
+
+  /** Longest cool-down of a server that breaks connections again and again. */
+  private static final long COOL_DOWN_MOST = 16 * SECOND;
+
+  /** Two listings of one start may differ by so much: clocks are mapped anew each time. */
+  private static final long SAME_START = 100 * MS;
+
   /** Wheels that take turns apart: one for light connections, one for heavy ones. */
   private static final int WHEELS = 2;
 
@@ -191,6 +205,8 @@
     long coldAt;
     long movedAt = Long.MIN_VALUE / 2;
     long busyUntil;
+    long coolDown = COOL_DOWN;
+    long restUntil;
     int strain;
     long strainedAt = Long.MIN_VALUE / 2;
 
@@ -267,6 +283,7 @@
   private boolean listed;
   private long watchWait = 2 * SECOND;
   private long errorPause;
+  private double errorShare;
   private long pausedUntil;
   private int attemptsOut;
 
@@ -548,7 +565,7 @@
 
   /** A server that is reported full, or has just said so, cools down at no turns of its own. */
   private boolean room(Held h, Server s) {
-    if (now < s.busyUntil) {
+    if (now < s.busyUntil || now < s.restUntil) {
       return false;
     }
     long age = now - s.reportAt;
@@ -614,7 +631,11 @@
       }
       passed.add(turn);
       Server s = turn.server();
-      if (s.state != State.READY || h.tried.contains(s) || !sharesMemory(h, s) || !coldAllows(s)) {
+      if (s.state != State.READY
+          || now < s.restUntil
+          || h.tried.contains(s)
+          || !sharesMemory(h, s)
+          || !coldAllows(s)) {
         continue;
       }
       looked++;
@@ -649,6 +670,15 @@
     s.reprobeWait = Math.min(REPROBE_MOST, 2 * s.reprobeWait);
   }
 
+  /** Breaks that come in one go are one; a server that goes on breaking cools down for longer. */
+  private void broke(Server s) {
+    if (now >= s.busyUntil) {
+      boolean again = now - s.busyUntil < s.coolDown;
+      s.coolDown = again ? Math.min(COOL_DOWN_MOST, 2 * s.coolDown) : COOL_DOWN;
+      s.busyUntil = now + s.coolDown;
+    }
+  }
+
   private void restore(Server s) {
     if (s.quiesced) {
       s.quiesced = false;
@@ -680,6 +710,10 @@
       overloaded(s);
     } else if (status == Status.TIMEOUT || status == Status.CONNECT_FAILED) {
       quiesce(s);
+    } else {
+      // A server that begins to drain answers so, seconds before the list tells: left due, it was
+      // probed by each placement, and nothing was left for the probes that were of use.
+      s.restUntil = now + PROBE_REST;
     }
     List<Held> waiting = List.copyOf(s.waiting);
     s.waiting.clear();
@@ -842,12 +876,12 @@
     }
   }
 
-  /** When a refused client is to come again: not before this node sends again itself. */
+  /** When a refused client is to come again: not before this node looks or sends again itself. */
   private long comeBack() {
     if (!settings.limits().retryAfter()) {
       return 0;
     }
-    return Math.min(Math.max(0, pausedUntil - now), settings.limits().maxRetryAfter());
+    return Math.min(Math.max(HOLD, pausedUntil - now), settings.limits().maxRetryAfter());
   }
 
   private void forget(Held h) {
@@ -899,6 +933,7 @@
     Held h = requests.get(id);
     if (h != null && h.at != null && !h.established && h.attempts == attempt + 1) {
       attemptsOut--;
+      errorShare -= ERROR_STEP * errorShare;
       errorPause = errorPause < ERROR_PAUSE ? 0 : errorPause / 2;
       opened(h, h.at);
     }
@@ -955,8 +990,10 @@
       return;
     }
     Server was = h.at;
-    if (outcome.status() == Status.FULL || outcome.status() == Status.RESET) {
-      was.busyUntil = now + COOL_DOWN;
+    if (outcome.status() == Status.FULL) {
+      was.busyUntil = Math.max(was.busyUntil, now + COOL_DOWN);
+    } else if (outcome.status() == Status.RESET) {
+      broke(was);
     }
     if (outcome.closed() || h.established) {
       forget(h);
@@ -964,7 +1001,14 @@
     }
     attemptsOut--;
     h.at = null;
-    if (outcome.status() == Status.ERROR || outcome.status() == Status.TIMEOUT) {
+    boolean error = outcome.status() == Status.ERROR || outcome.status() == Status.TIMEOUT;
+    if (error && h.ranAt == null) {
+      errorShare += ERROR_STEP * (1 - errorShare);
+    }
+    // One flow's errors are its own, and one server's are its: only many flows' tell of a cause
+    // that
+    // all servers share. Without this a client with a copied id paused the whole node.
+    if (error && errorShare > ERROR_SHARE) {
       errorPause = Math.min(ERROR_PAUSE_MOST, Math.max(ERROR_PAUSE, 2 * errorPause));
       pausedUntil = now + errorPause / 2 + random.nextLong(errorPause);
     }
@@ -1106,7 +1150,7 @@
     s.zone = entry.zone();
     s.cell = entry.cell();
     s.size = entry.size() > 0 && entry.size() < 1e9 ? entry.size() : s.size;
-    boolean restarted = entry.since() > s.since;
+    boolean restarted = entry.since() > s.since + SAME_START;
     s.since = entry.since();
     if (entry.state() == State.DRAINING) {
       ready.remove(s);
--- a/src/test/java/brassbank/ProxyTest.java
+++ b/src/test/java/brassbank/ProxyTest.java
@@ -9,11 +9,14 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -580,6 +583,30 @@
     }
   }
 
+  /** Fixed caps summed up to more than a day's memory limit allowed. */
+  @ParameterizedTest
+  @ValueSource(ints = {48, 144, 192, 2048})
+  void capsTheRuntimeByTheMemoryThatTheConfigurationStates(int limit) throws Exception {
+    Path folder = Files.createTempDirectory("brassbank");
+    Path java = Files.writeString(folder.resolve("java"), "#!/bin/sh\necho \"$@\"\n");
+    assertThat(java.toFile().setExecutable(true)).isTrue();
+    site.config.getAsJsonObject("limits").addProperty("memory_mb", limit);
+    Path file = Files.writeString(folder.resolve("config.json"), site.config.toString());
+    ProcessBuilder builder = new ProcessBuilder("sh", "deploy/serve.sh");
+    builder.environment().put("PATH", folder + ":/usr/bin:/bin");
+    builder.environment().put("LB_CONFIG", file.toString());
+    String line = new String(builder.start().getInputStream().readAllBytes());
+    int sum = 0;
+    Matcher cap = Pattern.compile("-(?:Xmx|XX:(?:MaxD|MaxM|Res)\\w+=)(\\d+)m").matcher(line);
+    while (cap.find()) {
+      sum += Integer.parseInt(cap.group(1));
+    }
+    assertThat(sum).isBetween(Math.min(limit, 192) / 2, Math.min(limit, 192) - 4);
+    for (Path path : List.of(java, file, folder)) {
+      Files.delete(path);
+    }
+  }
+
   @ParameterizedTest
   @ValueSource(strings = {"", "{", "[]", "{\"settings\":{}}", "{\"settings\":{\"rank\":\"x\"}}"})
   void saysPlainlyWhatIsWrongWithItsConfiguration(String text) throws Exception {
