Cut an unanswered attempt early, rest its host, and let its time-outs pause no node

A log line for each time-out showed that two hosts, whose probes were answered, left 18 forwards unanswered; each cost its client the whole deadline, and together they paused the node. Ruled out: descriptors (145 of 664), CPU, the discovery list, the front. At fault: Policy.send (waited for the deadline), Policy.outcome (time-outs of one host counted for all; no rest for a host that answers probes only), Decider (time-outs were not logged).

--- a/src/main/java/ashspar/Policy.java
+++ b/src/main/java/ashspar/Policy.java
@@ -147,6 +147,17 @@
   /** Rest of a server that answered a probe with an error. */
   private static final long PROBE_REST = SECOND;
 
+  /** An attempt is waited for at least so long, or so many times what servers take on average. */
+  private static final long ACCEPT_LEAST = 600 * MS;
+
+  private static final double ACCEPT_TIMES = 8;
+
+  /** Attempts in a row that a server leaves unanswered before it cools down. */
+  private static final int UNANSWERED = 2;
+
+  /** Weight of one attempt in that average. */
+  private static final double ACCEPT_STEP = 0.1;
+
   /** Longest cool-down of a server that breaks connections again and again. */
   private static final long COOL_DOWN_MOST = 16 * SECOND;
 
@@ -206,6 +217,7 @@
     long movedAt = Long.MIN_VALUE / 2;
     long busyUntil;
     long coolDown = COOL_DOWN;
+    int unanswered;
     long restUntil;
     int strain;
     long strainedAt = Long.MIN_VALUE / 2;
@@ -284,6 +296,7 @@
   private long watchWait = 2 * SECOND;
   private long errorPause;
   private double errorShare;
+  private double meanAccept = ACCEPT_LEAST / ACCEPT_TIMES;
   private long pausedUntil;
   private int attemptsOut;
 
@@ -844,8 +857,18 @@
     if (!h.tried.contains(s)) {
       h.tried.add(s);
     }
-    // Never cut short: with a slow store, cut attempts were all lost work and tried again at once.
-    actions.send(h.request.id(), s.id, h.deadline);
+    actions.send(h.request.id(), s.id, Math.min(h.deadline, now + patience(h)));
+  }
+
+  /**
+   * How long an attempt is waited for: many times what servers take now, so that one that has lost
+   * the request costs no whole deadline. Where all are slow, as with a slow store, the time grows
+   * with them: attempts that were cut short then were lost work and tried again at once.
+   */
+  private long patience(Held h) {
+    long usual = Math.max(ACCEPT_LEAST, (long) (ACCEPT_TIMES * meanAccept));
+    boolean again = h.type.effect() == Effect.FREE && h.attempts < settings.limits().maxAttempts();
+    return again && h.deadline - now > 2 * usual ? usual : h.deadline - now;
   }
 
   /** Rule 2: after an attempt that may have run, only where its repeat is dropped, and in time. */
@@ -933,7 +956,9 @@
     Held h = requests.get(id);
     if (h != null && h.at != null && !h.established && h.attempts == attempt + 1) {
       attemptsOut--;
+      meanAccept += ACCEPT_STEP * (elapsed - meanAccept);
       errorShare -= ERROR_STEP * errorShare;
+      h.at.unanswered = 0;
       errorPause = errorPause < ERROR_PAUSE ? 0 : errorPause / 2;
       opened(h, h.at);
     }
@@ -990,18 +1015,25 @@
       return;
     }
     Server was = h.at;
-    if (outcome.status() == Status.FULL) {
+    // A server may answer probes and lose requests: only their own time tells of that.
+    was.unanswered += outcome.status() == Status.TIMEOUT ? 1 : 0;
+    boolean silent = outcome.status() == Status.TIMEOUT && was.unanswered >= UNANSWERED;
+    if (outcome.status() == Status.FULL || silent) {
       was.busyUntil = Math.max(was.busyUntil, now + COOL_DOWN);
     } else if (outcome.status() == Status.RESET) {
       broke(was);
     }
+    if (outcome.status() == Status.TIMEOUT) {
+      meanAccept += ACCEPT_STEP * Math.max(0, outcome.elapsed() - meanAccept);
+    }
     if (outcome.closed() || h.established) {
       forget(h);
       return;
     }
     attemptsOut--;
     h.at = null;
-    boolean error = outcome.status() == Status.ERROR || outcome.status() == Status.TIMEOUT;
+    boolean error =
+        outcome.status() == Status.ERROR || (outcome.status() == Status.TIMEOUT && !was.quiesced);
     if (error && h.ranAt == null) {
       errorShare += ERROR_STEP * (1 - errorShare);
     }
--- a/src/main/java/brassbank/decide/Decider.java
+++ b/src/main/java/brassbank/decide/Decider.java
@@ -399,6 +399,7 @@
     switch (alarm.kind()) {
       case FORWARD_DUE -> {
         if (entry.stage == Stage.OUT && entry.forwards == alarm.forward()) {
+          LOG.info("a forward to " + entry.target.name() + " was not answered in time");
           entry.stage = Stage.HELD;
           out.add(new Decision.Cancel(entry.flow.id()));
           outcome(entry, Ending.TIMED_OUT, false);
--- a/src/test/java/ashspar/PolicyTest.java
+++ b/src/test/java/ashspar/PolicyTest.java
@@ -338,6 +338,27 @@
     assertTrue(cooled[1] >= 4 * SECOND, "then " + cooled[1]);
   }
 
+  /** A server lost requests and answered probes: each cost its client the whole deadline. */
+  @Test
+  void anUnansweredAttemptIsCutLongBeforeTheDeadlineAndItsServerRests() {
+    Script script = script();
+    script.list(2);
+    script.request(1, 10 * SECOND, 0);
+    Script.Sent sent = script.last(1);
+    assertTrue(sent.abandonAt() - sent.at() < SECOND, "waits for " + sent);
+    script.pass(600 * MS);
+    script.outcome(1, Status.TIMEOUT, false);
+    script.pass(SECOND);
+    assertNotEquals(sent.server(), script.last(1).server());
+    // Where all are slow the time grows, so that no attempt is cut that would have been answered.
+    for (int i = 2; i < 40; i++) {
+      script.request(i, 10 * SECOND, 0);
+      script.balancer.accepted(script.now, i, 0, script.last(i).server(), SECOND);
+    }
+    script.request(50, 60 * SECOND, 0);
+    assertTrue(script.last(50).abandonAt() - script.last(50).at() > 4 * SECOND);
+  }
+
   @Test
   void aHeldRequestIsAnsweredEvenWhileAProbeIsOut() {
     Script script = settled(new Script.Setup(), 3);
