Spread what other proxies place over all hosts, instead of where this one does

The hosts of the rest, where the others really placed, looked as empty as before.

Ruled out: set-up limits (1 of 4 taken in nearly all traces), quiesced or resting hosts (few). Wrong lines: LoadEstimate.adds, which multiplied by all nodes, and nothing spread in Limits.joined.

Change: up to four nodes are taken to act alike; what the rest place meanwhile is spread over all hosts (limits.Elsewhere), settled by reports as own placements are. Fleets of up to four: as before.

--- a/src/main/java/ashspar/limits/Limits.java
+++ b/src/main/java/ashspar/limits/Limits.java
@@ -20,6 +20,12 @@
   /** How many times the room of a group a server must have to take one that is held elsewhere. */
   private static final double NEW_GROUP = 3;
 
+  /**
+   * Up to so many nodes that see the same reports are taken to place where this one does. More
+   * spread out, see {@link Elsewhere}; fewer, and small fleets filled the same server together.
+   */
+  private static final int ALIKE = 4;
+
   /** How long the fleet's places are taken for what they were when they were counted. */
   private static final long COUNTED = 20_000;
 
@@ -31,6 +37,7 @@
   public final RetryBudget retries;
   private final List<ServerLimits> ready = new ArrayList<>();
   private final FleetLimit fleet = new FleetLimit();
+  private final Elsewhere elsewhere = new Elsewhere();
   private final Returns returns = new Returns();
   private final StartPace pace;
 
@@ -50,7 +57,7 @@
 
   /** Limits for a server that is heard of; it counts from {@link #ready} on. */
   public ServerLimits join(String id) {
-    return new ServerLimits(id, outliers, noRoom);
+    return new ServerLimits(id, outliers, noRoom, elsewhere);
   }
 
   /** The server may be sent to from now on, or no longer. */
@@ -121,6 +128,8 @@
   /** A server has broken a standing connection, or sent its client away. */
   public void sentAway(long now) {
     returns.sentAway(nodes - 1, now);
+    // It has left that server only, and others' clients have left it, too: no room anywhere else.
+    elsewhere.add(now, 1);
   }
 
   /**
@@ -149,7 +158,7 @@
    */
   public boolean room(long now, ServerLimits server, double value, String group) {
     boolean spreads = server.groups.isNew(group) && held(group);
-    double costs = spreads ? estimate.adds(0, true, nodes, server.size(), meanSize) : 0;
+    double costs = spreads ? estimate.adds(0, true, 1, server.size(), meanSize) : 0;
     return server.room(now, value, NEW_GROUP * costs);
   }
 
@@ -186,20 +195,26 @@
    * @return what it adds to the server's load, to be given back by {@link #left}
    */
   public double joined(long now, ServerLimits server, double cost, String group, boolean shown) {
-    double adds = estimate.adds(cost, server.groups.isNew(group), nodes, server.size(), meanSize);
+    double adds = estimate.adds(cost, server.groups.isNew(group), alike(), server.size(), meanSize);
     if (server.groups.isNew(group)) {
       holders.merge(group, 1, Integer::sum);
     }
     server.joined(now, shown ? 0 : adds, group);
+    elsewhere.add(now, shown ? 0 : 1);
     return adds;
   }
 
+  private int alike() {
+    return Math.min(ALIKE, nodes);
+  }
+
   /** What has {@link #joined} a server is gone from there, with what it added. */
   public void left(long now, ServerLimits server, double added, String group) {
     if (server.groups.isLone(group)) {
       holders.computeIfPresent(group, (g, servers) -> servers > 1 ? servers - 1 : null);
     }
     server.left(now, added, group);
+    elsewhere.add(now, -1);
   }
 
   /**
@@ -219,6 +234,10 @@
     }
     meanSize = sizes / Math.max(1, ready.size());
     estimate.measure(meanLoad, connections * (double) nodes, groups, ready.size());
+    for (ServerLimits server : ready) {
+      double share = sizes > 0 ? server.size() / sizes : 1.0 / ready.size();
+      server.othersAdd((nodes - alike()) * share * estimate.adds(1, false, 1, server.size(), meanSize));
+    }
     fleet.measure(
         ready.stream()
             .filter(s -> !s.record.resting() && s.setups.heard(now))
--- a/src/main/java/ashspar/limits/LoadEstimate.java
+++ b/src/main/java/ashspar/limits/LoadEstimate.java
@@ -71,19 +71,19 @@
   }
 
   /**
-   * What a connection adds to a server, where others do as this node does.
+   * What a connection adds to a server, where some others do as this node does.
    *
    * @param cost its load against a mean one's
    * @param newGroup whether it brings the server a group
-   * @param nodes how many place connections by the same reports
+   * @param alike nodes that are taken to place one there as well, this one included
    * @param size the server's, in cores; 0 where sizes tell nothing
    * @param meanSize the mean of the servers' sizes
    */
-  public double adds(double cost, boolean newGroup, int nodes, double size, double meanSize) {
+  public double adds(double cost, boolean newGroup, int alike, double size, double meanSize) {
     double one = Double.isNaN(meanOne) ? 0 : meanOne;
     if (size > 0) {
       one = Math.min(one * meanSize / size, WITH_SETUP * cores() / size);
     }
-    return one * (cost * nodes + (newGroup ? GROUP : 0));
+    return one * (cost * alike + (newGroup ? GROUP : 0));
   }
 }
--- a/src/main/java/ashspar/limits/PlacedLoad.java
+++ b/src/main/java/ashspar/limits/PlacedLoad.java
@@ -32,6 +32,9 @@
   /** When the last measurement was last seen. */
   private long seenAt = Long.MIN_VALUE / 2;
 
+  /** What was done until then is settled. */
+  private long settledTo = Long.MIN_VALUE / 2;
+
   private double lastLoad = Double.NaN;
   private double lastOther = Double.NaN;
 
@@ -77,7 +80,13 @@
     sum = 0;
   }
 
+  /** Until when what was done is settled; it never goes back. */
+  public long settledTo() {
+    return settledTo;
+  }
+
   private void settle(long measured) {
+    settledTo = Math.max(settledTo, measured);
     while (!changes.isEmpty() && changes.peekFirst().at() <= measured) {
       sum -= changes.removeFirst().load();
     }
--- a/src/main/java/ashspar/limits/ServerLimits.java
+++ b/src/main/java/ashspar/limits/ServerLimits.java
@@ -32,8 +32,15 @@
   private double reported = Double.NaN;
   private long reportedAt = Long.MIN_VALUE / 2;
   private double size;
+  private final Elsewhere elsewhere;
+  private long elsewhereShown;
 
-  ServerLimits(String id, Outliers outliers, NoRoom noRoom) {
+  /** What one connection of this node, placed anywhere, tells of those that others place here. */
+  private double elsewhereEach;
+
+  ServerLimits(String id, Outliers outliers, NoRoom noRoom, Elsewhere elsewhere) {
+    this.elsewhere = elsewhere;
+    elsewhereShown = elsewhere.total();
     groups = new Groups(id);
     record = outliers.join();
     this.noRoom = noRoom;
@@ -43,6 +50,7 @@
   public void started(boolean cold, double cores) {
     setups.restarted(cold);
     added.clear();
+    elsewhereShown = elsewhere.total();
     record.end();
     reported = Double.NaN;
     size = cores;
@@ -53,18 +61,24 @@
     reported = load;
     reportedAt = now;
     added.reported(now, load, other);
+    elsewhereShown = elsewhere.totalAt(added.settledTo());
     noRoom.changed(this);
   }
 
   /** The load that the server is taken to have: what was reported, and what no report shows. */
   public double load(long now) {
     boolean told = !Double.isNaN(reported) && now - reportedAt <= OVERDUE;
-    return (told ? reported : 0) + added.sum();
+    return (told ? reported : 0) + added();
   }
 
-  /** What no report shows yet of what this node has added; negative where more has ended. */
+  /** What no report shows yet of what all nodes have added; negative where more has ended. */
   public double added() {
-    return added.sum();
+    return added.sum() + (elsewhere.total() - elsewhereShown) * elsewhereEach;
+  }
+
+  /** Measured anew: what others add here for each connection that this node places anywhere. */
+  void othersAdd(double each) {
+    elsewhereEach = each;
   }
 
   /** Size in cores, 0 where unknown. */
--- a/src/test/java/ashspar/limits/LimitsTest.java
+++ b/src/test/java/ashspar/limits/LimitsTest.java
@@ -1,6 +1,7 @@
 package ashspar.limits;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.util.ArrayDeque;
@@ -405,4 +406,30 @@
     }
     assertThat(sent).as("those that stand are held").isBetween(1, 4);
   }
+
+  /** One connection of one of fourteen nodes read as fourteen at its server, and none elsewhere. */
+  @Example
+  void whatManyOtherNodesPlaceMeanwhileIsSpreadOverAllServers() {
+    for (int nodes : new int[] {4, 14}) {
+      Limits<String> limits = new Limits<>(0);
+      List<ServerLimits> servers = new ArrayList<>();
+      for (int i = 0; i < 8; i++) {
+        ServerLimits server = limits.join("s" + i);
+        server.started(false, 4);
+        limits.ready(server, true);
+        server.reported(0, 0.4, 0);
+        servers.add(server);
+      }
+      limits.measure(0, 0.4, 160 / nodes, nodes);
+      double one = limits.joined(MS, servers.get(0), 1, null, false) / Math.min(4, nodes);
+      double added = servers.stream().mapToDouble(ServerLimits::added).sum();
+      assertThat(added / one).as("all that the nodes add").isCloseTo(nodes, within(1e-6));
+      assertThat(servers.get(0).added() / one).as("of it here").isLessThan(5.5);
+      assertThat(servers.get(1).added() > 0).isEqualTo(nodes > 4);
+      for (ServerLimits server : servers) {
+        server.reported(4 * SECOND, 0.41, 0);
+        assertThat(server.added()).as("a later report shows it").isCloseTo(0, within(1e-9));
+      }
+    }
+  }
 }
