Deal the places of a cold host out over all proxies, by rank and by measured lives

Cause, Admission.coldRate and coldAllows: each proxy kept a private bucket of one session, filled by its own first tries a second over all hosts. That measure is of demand, not of what a host can do, and noise for a proxy that sees one first try in 2 s: a session in some 33 s and host. The cap of one each was none of the fleet's either: all full buckets could be spent in the same storm.

Change: a host's budget follows from its size, the sessions' own load and their measured lives (limits.Lives), and its places are dealt out in turn by rank, start and id (limits.ColdShare): a share below one is carried, each place is one proxy's, for as long as the window over which a host falls. At 0.45 of the rule two windows of places within one stay inside it. Only near hosts are called early.

Ruled out: hosts that refuse (no BUSY in the traces), the start's pace (no proxy had just started).

--- a/src/main/java/ashspar/Admission.java
+++ b/src/main/java/ashspar/Admission.java
@@ -2,6 +2,7 @@
 
 import ashspar.Balancer.Rules;
 import ashspar.Balancer.State;
+import ashspar.limits.ColdShare;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -9,9 +10,13 @@
  * Which server a request may go to now; those that have just started by their share of a budget.
  */
 final class Admission {
-  private static final double COLD_SAFETY = 0.35; // of the fall-over budget, all nodes
+  /** Of the fall-over budget: places of two windows may be taken within one. */
+  private static final double COLD_SAFETY = 0.45;
+
   static final double COLD_HEAVIEST = 2; // against the mean
 
+  private static final double SECOND = Node.SECOND;
+
   private final Node node;
   private final List<Server> cold = new ArrayList<>();
 
@@ -51,8 +56,7 @@
 
   /** A server has started, perhaps just now. */
   void started(Server s) {
-    s.coldCredit = node.random.nextDouble();
-    s.coldAt = node.now;
+    s.coldShare = new ColdShare(node.settings.rank(), node.settings.nodes(), s.id);
     if (warmth(s) < 1 && !cold.contains(s)) {
       cold.add(s);
     }
@@ -60,37 +64,32 @@
 
   /** The share of its capacity that a server surely has, by the slowest warm-up stated. */
   double warmth(Server s) {
-    Rules rules = node.settings.rules();
-    long age = node.now - s.since;
-    if (s.since <= 0 || rules.warmUp() <= 0 || age >= rules.warmUp()) {
-      return 1;
-    }
-    double least = rules.coldShare();
-    return least + (1 - least) * Math.max(0, age) / rules.warmUp();
+    double warm = rules().warmUp() / SECOND;
+    double least = rules().coldShare();
+    return s.since > 0 && age(s) < warm ? least + (1 - least) * age(s) / warm : 1;
   }
 
-  /** A whole token is asked even of a light connection: else most nodes could send one at once. */
+  /** A place is this node's for as long as the window over which the server falls. */
   boolean coldAllows(Server s) {
-    double warmth = warmth(s);
-    if (warmth >= 1) {
-      return true;
-    }
-    double seconds = (node.now - s.coldAt) / (double) Node.SECOND;
-    s.coldAt = node.now;
-    s.coldCredit = Math.min(1, s.coldCredit + seconds * coldRate(warmth));
-    return s.coldCredit >= 1;
+    return warmth(s) >= 1 || s.coldShare.free(warming(s), age(s), rules().fallWindow() / SECOND);
+  }
+
+  private ColdShare.Warming warming(Server s) {
+    double most = COLD_SAFETY * rules().fallMultiple() * node.limits.turnover(s.limits);
+    return new ColdShare.Warming(most, rules().coldShare(), rules().warmUp() / SECOND);
+  }
+
+  private double age(Server s) {
+    return Math.max(0, node.now - s.since) / SECOND;
   }
 
-  /** Own share of the connections a second that a cold server may be sent, by own traffic. */
-  private double coldRate(double warmth) {
-    double seconds = Math.max(5, (node.now - node.startedAt) / (double) Node.SECOND);
-    double perServer = (node.arrivals + 1) / seconds / Math.max(1, node.ready.size());
-    return COLD_SAFETY * node.settings.rules().fallMultiple() * warmth * perServer / 0.6;
+  private Rules rules() {
+    return node.settings.rules();
   }
 
   void coldTake(Server s, double cost) {
     if (warmth(s) < 1) {
-      s.coldCredit -= Math.max(1, cost);
+      s.coldShare.take(warming(s), age(s), cost);
     }
   }
 
@@ -99,7 +98,7 @@
     cold.removeIf(s -> s.state != State.READY || warmth(s) >= 1);
     for (Server s : cold) {
       boolean light = !(s.limits.load(node.now) > node.weights.meanLoad());
-      if (s.weight > 0 && light && coldAllows(s)) {
+      if (s.weight > 0 && light && node.weights.nearness(s) == 1 && coldAllows(s)) {
         node.wheels.call(s);
       }
     }
--- a/src/main/java/ashspar/Server.java
+++ b/src/main/java/ashspar/Server.java
@@ -1,6 +1,7 @@
 package ashspar;
 
 import ashspar.Balancer.State;
+import ashspar.limits.ColdShare;
 import ashspar.limits.ServerLimits;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
@@ -39,8 +40,7 @@
   double input;
   boolean quiesced;
   boolean probing;
-  double coldCredit;
-  long coldAt;
+  ColdShare coldShare; // of what it may be sent while it warms up
   long movedAt = Long.MIN_VALUE / 2;
   long restUntil;
   long askFrom; // not probed before
--- /dev/null
+++ b/src/main/java/ashspar/limits/ColdShare.java
@@ -0,0 +1,74 @@
+package ashspar.limits;
+
+/**
+ * This node's share of what a cold server may be sent. The limit is the fleet's, so that its places
+ * are dealt out: each is one node's, by the server's start, its id and the nodes' ranks, which all
+ * nodes know without a word. A share below one a window is carried as a place in turn: with a floor
+ * of one each, fourteen nodes whose clients come back at the same moment would push the server over
+ * together, and with a private bucket each they would as soon as all of them are full.
+ *
+ * <p>The rate of places grows evenly with the server's warmth, from its start on. Where nodes do
+ * not quite agree on the rate, their places only lie less evenly.
+ *
+ * <p>Times are microseconds. Calls cost constant time. For one thread at a time.
+ */
+public final class ColdShare {
+  private final int first;
+  private final int nodes;
+  private long taken = -1;
+  private double owed;
+
+  /**
+   * @param rank this node's, from 0
+   * @param nodes how many nodes there are, at least one
+   * @param server its id, by which servers begin with different nodes
+   */
+  public ColdShare(int rank, int nodes, String server) {
+    this.nodes = Math.max(1, nodes);
+    int mixed = server.hashCode() * 0x9E3779B1;
+    first = Math.floorMod(rank + (mixed >>> 15), this.nodes);
+  }
+
+  /** Whether a place that is this node's has come up lately and is not yet taken. */
+  public boolean free(Warming warming, double age, double valid) {
+    long last = last(warming, age);
+    return last > taken && age - warming.reached(last + 1.0) <= valid;
+  }
+
+  /** Takes the place; what a connection costs beyond a mean one is paid with places to come. */
+  public void take(Warming warming, double age, double cost) {
+    taken = Math.max(taken, last(warming, age));
+    owed += Math.max(0, cost - 1);
+    while (owed >= 1) {
+      owed--;
+      taken += nodes;
+    }
+  }
+
+  /** The last of this node's places that has come up; below zero where none has. */
+  private long last(Warming warming, double age) {
+    long up = (long) Math.floor(warming.places(age)) - 1;
+    return up < first ? -1 : up - (up - first) % nodes;
+  }
+
+  /**
+   * What a server that warms up may be sent by all nodes.
+   *
+   * @param rate places a second once it is warm
+   * @param least share of its capacity at its start, above 0
+   * @param seconds until it is warm, above 0
+   */
+  public record Warming(double rate, double least, double seconds) {
+    /** Places up to an age in seconds: the integral of the rate. */
+    double places(double age) {
+      return rate * (least * age + (1 - least) * age * age / (2 * seconds));
+    }
+
+    /** The age by which so many places have come up. */
+    double reached(double places) {
+      double slope = (1 - least) / seconds;
+      double root = Math.sqrt(least * least + 2 * slope * places / rate);
+      return slope > 0 ? (root - least) / slope : places / rate / least;
+    }
+  }
+}
--- a/src/main/java/ashspar/limits/Limits.java
+++ b/src/main/java/ashspar/limits/Limits.java
@@ -26,12 +26,16 @@
    */
   private static final int ALIKE = 4;
 
+  /** Cores taken for a server whose size is not told: as few as any that was met. */
+  private static final double UNSIZED = 2;
+
   /** How long the fleet's places are taken for what they were when they were counted. */
   private static final long COUNTED = 20_000;
 
   public final TenantShares shares = new TenantShares();
   public final WaitingRoom<T> room = new WaitingRoom<>(MOST_WAITING, shares);
   public final Outliers outliers = new Outliers();
+  public final Lives lives = new Lives();
   public final LoadEstimate estimate = new LoadEstimate();
   public final NoRoom noRoom = new NoRoom();
   public final RetryBudget retries;
@@ -122,6 +126,7 @@
   /** A standing connection of this node has ended; its client may return. */
   public void gone(long now, String key) {
     returns.held(key, now);
+    lives.ended(1);
     pace.giveBack();
   }
 
@@ -130,6 +135,7 @@
     returns.sentAway(nodes - 1, now);
     // It has left that server only, and others' clients have left it, too: no room anywhere else.
     elsewhere.add(now, 1);
+    lives.ended(-1);
   }
 
   /**
@@ -175,6 +181,12 @@
     return server.groups.isLone(group) ? value / (1 + LoadEstimate.GROUP) : value;
   }
 
+  /** Connections a second by which a warm server stays full. */
+  public double turnover(ServerLimits server) {
+    double size = server.size() > 0 ? server.size() : UNSIZED;
+    return size / estimate.cores() / lives.mean();
+  }
+
   /** Room at the other servers, in loads of this one. */
   public double spare(long now, ServerLimits server) {
     double spare = 0;
@@ -226,6 +238,7 @@
    */
   public void measure(long now, double meanLoad, int connections, int nodeCount) {
     nodes = nodeCount;
+    lives.count(now, connections);
     double groups = 0;
     double sizes = 0;
     for (ServerLimits server : ready) {
@@ -236,7 +249,8 @@
     estimate.measure(meanLoad, connections * (double) nodes, groups, ready.size());
     for (ServerLimits server : ready) {
       double share = sizes > 0 ? server.size() / sizes : 1.0 / ready.size();
-      server.othersAdd((nodes - alike()) * share * estimate.adds(1, false, 1, server.size(), meanSize));
+      server.othersAdd(
+          (nodes - alike()) * share * estimate.adds(1, false, 1, server.size(), meanSize));
     }
     fleet.measure(
         ready.stream()
--- /dev/null
+++ b/src/test/java/ashspar/limits/ColdShareTest.java
@@ -0,0 +1,79 @@
+package ashspar.limits;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+
+/** What all nodes together send a cold server, against the rule that it must not fall over. */
+class ColdShareTest {
+  private static final double WINDOW = 1.5;
+  private static final double SAFETY = 0.45;
+  private static final double MULTIPLE = 4;
+  private static final double WARM_UP = 24;
+  private static final double LEAST = 0.12;
+
+  /** Connections a second that keep the warm server full. */
+  private static final double TURNOVER = 3;
+
+  private static final ColdShare.Warming WARMING =
+      new ColdShare.Warming(SAFETY * MULTIPLE * TURNOVER, LEAST, WARM_UP);
+
+  private static double capacity(double age) {
+    return TURNOVER * (LEAST + (1 - LEAST) * Math.min(1, age / WARM_UP));
+  }
+
+  /** The storm comes after a while in which all have saved up what a private bucket would hold. */
+  @Property(seed = "7", tries = 60)
+  void nodesThatAllWantToSendAtOnceStayWithinTheRuleAndUseTheirShares(
+      @ForAll @IntRange(min = 1, max = 20) int nodes, @ForAll @IntRange(max = 12) int quiet) {
+    SplittableRandom random = new SplittableRandom(nodes * 100 + quiet);
+    List<ColdShare> shares = new ArrayList<>();
+    for (int rank = 0; rank < nodes; rank++) {
+      shares.add(new ColdShare(rank, nodes, "s-" + quiet));
+    }
+    List<Double> sent = new ArrayList<>();
+    for (double age = 0; age < WARM_UP; age += 0.01) {
+      boolean storm = age >= quiet;
+      for (ColdShare share : shares) {
+        if ((storm || random.nextInt(200) == 0) && share.free(WARMING, age, WINDOW)) {
+          share.take(WARMING, age, 1);
+          sent.add(age);
+        }
+      }
+    }
+    for (double from : sent) {
+      long within = sent.stream().filter(at -> at >= from && at < from + WINDOW).count();
+      assertThat((double) within)
+          .as("sent from %s s on", from)
+          .isLessThanOrEqualTo(1 + MULTIPLE * capacity(from + WINDOW) * WINDOW);
+    }
+    double all = WARMING.places(WARM_UP) - WARMING.places(quiet);
+    assertThat((double) sent.stream().filter(at -> at >= quiet).count())
+        .as("no share is lost to a remainder")
+        .isGreaterThan(0.9 * all - nodes);
+  }
+
+  @Property(seed = "8", tries = 50)
+  void aPlaceComesUpAtTheAgeThatItIsReachedBy(@ForAll @IntRange(min = 1, max = 60) int place) {
+    assertThat(WARMING.places(WARMING.reached(place))).isCloseTo(place, within(1e-6));
+  }
+
+  @Property(seed = "9", tries = 20)
+  void aHeavyConnectionIsPaidWithPlacesToCome(@ForAll @IntRange(min = 1, max = 6) int cost) {
+    ColdShare share = new ColdShare(0, 2, "s");
+    int taken = 0;
+    for (double age = 0; age < WARM_UP; age += 0.01) {
+      if (share.free(WARMING, age, WINDOW)) {
+        share.take(WARMING, age, cost);
+        taken++;
+      }
+    }
+    assertThat(taken * (double) cost).isCloseTo(WARMING.places(WARM_UP) / 2, within(cost + 2.0));
+  }
+}
--- a/src/test/java/ashspar/limits/LimitsTest.java
+++ b/src/test/java/ashspar/limits/LimitsTest.java
@@ -1,8 +1,8 @@
 package ashspar.limits;
 
 import static org.assertj.core.api.Assertions.assertThat;
-import static org.assertj.core.api.Assertions.within;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
+import static org.assertj.core.api.Assertions.within;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
