Know a host that fails most attempts, fill cold hosts by what they have, agree on groups

Change: a success forgets half of the failures; what is placed at a cold host counts against the size it has by now, and against no other proxy's placing the same; beyond four nodes the weight that all share (rendezvous) counts more than own holdings. Up to four nodes the liking is as it was.

--- a/src/main/java/ashspar/Admission.java
+++ b/src/main/java/ashspar/Admission.java
@@ -88,6 +88,7 @@
   }
 
   void coldTake(Server s, double cost) {
+    s.limits.warm(warmth(s));
     if (warmth(s) < 1) {
       s.coldShare.take(warming(s), age(s), cost);
     }
--- a/src/main/java/ashspar/Wheels.java
+++ b/src/main/java/ashspar/Wheels.java
@@ -113,7 +113,7 @@
         parked.add(s);
       } else if (node.admission.allowed(h, s, again)) {
         first = looks++ == 0 ? turn.at() : first;
-        double liking = s.limits.groups.liking(group) * node.weights.nearness(s);
+        double liking = node.limits.liking(s.limits, group) * node.weights.nearness(s);
         double at = turn.at() - early * liking;
         if (at < best) {
           best = at;
--- a/src/main/java/ashspar/limits/Groups.java
+++ b/src/main/java/ashspar/limits/Groups.java
@@ -18,6 +18,9 @@
    */
   private static final double HOLDS = 0.75;
 
+  /** Nodes of which each sees enough to go by what it holds itself. */
+  private static final int FEW = 4;
+
   private final int server;
   private final Map<String, Integer> counts = new HashMap<>();
 
@@ -26,12 +29,17 @@
     server = serverId.hashCode();
   }
 
-  /** How much a connection of this group is liked here, from 0 to 1; 0 where it has no group. */
-  public double liking(String group) {
+  /**
+   * How much a connection of this group is liked here, from 0 to 1; 0 where it has no group.
+   *
+   * @param nodes how many hold groups of their own: of many, each knows but a part of who holds one
+   */
+  double liking(String group, int nodes) {
     if (group == null) {
       return 0;
     }
-    return (1 - HOLDS) * weight(group) + (counts.containsKey(group) ? HOLDS : 0);
+    double holds = HOLDS * Math.min(1, (double) FEW / nodes);
+    return (1 - holds) * weight(group) + (counts.containsKey(group) ? holds : 0);
   }
 
   /** A number from 0 to 1 that a server and a group have together (the finalizer of SplitMix64). */
--- a/src/main/java/ashspar/limits/Limits.java
+++ b/src/main/java/ashspar/limits/Limits.java
@@ -164,10 +164,15 @@
    */
   public boolean room(long now, ServerLimits server, double value, String group) {
     boolean spreads = server.groups.isNew(group) && held(group);
-    double costs = spreads ? estimate.adds(0, true, 1, server.size(), meanSize) : 0;
+    double costs = spreads ? estimate.adds(0, true, 1, server.sizeNow(), meanSize) : 0;
     return server.room(now, value, NEW_GROUP * costs);
   }
 
+  /** How much a connection of this group is liked at a server, from 0 to 1. */
+  public double liking(ServerLimits server, String group) {
+    return server.groups.liking(group, nodes);
+  }
+
   /** Whether this node holds the group anywhere. */
   public boolean held(String group) {
     return group != null && holders.containsKey(group);
@@ -207,7 +212,10 @@
    * @return what it adds to the server's load, to be given back by {@link #left}
    */
   public double joined(long now, ServerLimits server, double cost, String group, boolean shown) {
-    double adds = estimate.adds(cost, server.groups.isNew(group), alike(), server.size(), meanSize);
+    // Places of a cold server are dealt out: nobody else takes this one.
+    int alike = server.sizeNow() < server.size() ? 1 : alike();
+    boolean isNew = server.groups.isNew(group);
+    double adds = estimate.adds(cost, isNew, alike, server.sizeNow(), meanSize);
     if (server.groups.isNew(group)) {
       holders.merge(group, 1, Integer::sum);
     }
--- a/src/main/java/ashspar/limits/Outliers.java
+++ b/src/main/java/ashspar/limits/Outliers.java
@@ -27,7 +27,7 @@
     private long restUntil = Long.MIN_VALUE / 2;
     private long failedAt = Long.MIN_VALUE / 2;
     private long rest = FIRST;
-    private int streak;
+    private double streak;
     private boolean listed;
     private boolean resting;
     private boolean answered;
@@ -49,9 +49,15 @@
       }
     }
 
-    /** The server has answered an attempt as it should: whatever its record, it is well. */
+    /**
+     * The server has answered an attempt as it should, which ends its rest. Half of its failures
+     * are forgotten: one that fails three attempts of four was well again after each fourth, and
+     * was never let rest.
+     */
     public void succeeded() {
+      double kept = streak / 2;
       end();
+      streak = kept;
     }
 
     /**
--- a/src/main/java/ashspar/limits/ServerLimits.java
+++ b/src/main/java/ashspar/limits/ServerLimits.java
@@ -32,6 +32,7 @@
   private double reported = Double.NaN;
   private long reportedAt = Long.MIN_VALUE / 2;
   private double size;
+  private double warmth = 1;
   private final Elsewhere elsewhere;
   private long elsewhereShown;
 
@@ -54,6 +55,7 @@
     record.end();
     reported = Double.NaN;
     size = cores;
+    warmth = 1;
   }
 
   /** A report has come, with the load and another value, either of which may be NaN. */
@@ -86,6 +88,16 @@
     return size;
   }
 
+  /** The share of its size that it has by now; a report counts load against that share, too. */
+  public void warm(double share) {
+    warmth = share;
+  }
+
+  /** Size in cores that it has by now, 0 where unknown. */
+  double sizeNow() {
+    return size * warmth;
+  }
+
   /** Whether a set-up may go to the server now, be it of the worthiest. */
   public boolean open(long now) {
     return record.mayTry(now) && setups.free(now) && load(now) < CEILING;
--- a/src/test/java/ashspar/limits/LimitsTest.java
+++ b/src/test/java/ashspar/limits/LimitsTest.java
@@ -8,10 +8,14 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.stream.IntStream;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -432,4 +436,62 @@
       }
     }
   }
+
+  /** One success in four made such a server well again each time: it was never let rest. */
+  @Example
+  void aServerThatFailsMostAttemptsRestsThoughSomeSucceed() {
+    Outliers outliers = new Outliers();
+    Outliers.Record record = outliers.join();
+    record.listed(true);
+    outliers.fleet(8);
+    int tries = 0;
+    for (long now = SECOND; !record.resting() && tries < 40; now += 100 * MS) {
+      if (tries++ % 3 == 2) {
+        record.succeeded();
+      } else {
+        record.failed(now, 3);
+      }
+    }
+    assertThat(tries).as("attempts until it rests").isLessThan(10);
+  }
+
+  /** Reports count load against what a cold server can do by now, and so does what is added. */
+  @Example
+  void whatIsAddedToAColdServerCountsAgainstWhatItHasByNow() {
+    Limits<String> limits = new Limits<>(0);
+    ServerLimits warm = limits.join("warm");
+    ServerLimits cold = limits.join("cold");
+    for (ServerLimits server : List.of(warm, cold)) {
+      server.started(server == cold, 4);
+      limits.ready(server, true);
+    }
+    cold.warm(0.2);
+    limits.measure(0, 0.4, 40, 1);
+    double usual = limits.joined(MS, warm, 1, "group", false);
+    assertThat(limits.joined(MS, cold, 1, "group", false)).isCloseTo(5 * usual, within(1e-9));
+  }
+
+  /** Nodes that each hold a group where chance put it agree on where its next connections go. */
+  @Example
+  void manyNodesLikeTheSameServerForAGroupWhateverEachHolds() {
+    for (int nodes : new int[] {1, 14}) {
+      Set<Integer> liked = new HashSet<>();
+      for (int node = 0; node < 14; node++) {
+        Limits<String> limits = new Limits<>(0);
+        List<ServerLimits> servers = new ArrayList<>();
+        for (int i = 0; i < 7; i++) {
+          servers.add(limits.join("s" + i));
+          limits.ready(servers.get(i), true);
+        }
+        limits.measure(0, 0.4, 10, nodes);
+        limits.joined(0, servers.get(node % 7), 1, "group", true);
+        liked.add(
+            IntStream.range(0, 7)
+                .boxed()
+                .max(Comparator.comparingDouble(i -> limits.liking(servers.get(i), "group")))
+                .orElseThrow());
+      }
+      assertThat(liked.size()).isBetween(nodes == 1 ? 7 : 1, nodes == 1 ? 7 : 4);
+    }
+  }
 }
