Mend what a second reading of the fleet's changes found

Seen on reading: a cold host's share of its size was set at placements only, so that one that got none kept its first (too small) share, even once warm; Elsewhere.totalAt took its first change for already shown, was linear from the wrong end and said otherwise; the zone night took a random half of the hosts, not a zone; four alike nodes were written down twice (Groups.FEW, Limits.ALIKE), the host's common number and the kinds by name a second time; ColdShare's page gave wrong units.

Change: each of these. The simulation can tell proxies another site than there is: a cold host's budget without a bound is caught by join nights.

--- a/src/main/java/ashspar/Admission.java
+++ b/src/main/java/ashspar/Admission.java
@@ -56,7 +56,7 @@
 
   /** A server has started, perhaps just now. */
   void started(Server s) {
-    s.coldShare = new ColdShare(node.settings.rank(), node.settings.nodes(), s.id);
+    s.coldShare = new ColdShare(node.settings.rank() + Fleet.mix(s.id), node.settings.nodes());
     if (warmth(s) < 1 && !cold.contains(s)) {
       cold.add(s);
     }
@@ -88,7 +88,6 @@
   }
 
   void coldTake(Server s, double cost) {
-    s.limits.warm(warmth(s));
     if (warmth(s) < 1) {
       s.coldShare.take(warming(s), age(s), cost);
     }
@@ -96,6 +95,7 @@
 
   /** A cold server is due once its token is whole: in large fleets its turn takes minutes. */
   private void callCold() {
+    cold.forEach(s -> s.limits.warm(warmth(s)));
     cold.removeIf(s -> s.state != State.READY || warmth(s) >= 1);
     for (Server s : cold) {
       boolean light = !(s.limits.load(node.now) > node.weights.meanLoad());
--- a/src/main/java/ashspar/Fleet.java
+++ b/src/main/java/ashspar/Fleet.java
@@ -109,7 +109,8 @@
     node.wheels.rebuild();
   }
 
-  private static int mix(String id) {
+  /** A number that all nodes have for a server. */
+  static int mix(String id) {
     int h = id.hashCode() * 0x9E3779B1;
     return h ^ (h >>> 15);
   }
--- a/src/main/java/ashspar/limits/ColdShare.java
+++ b/src/main/java/ashspar/limits/ColdShare.java
@@ -10,7 +10,7 @@
  * <p>The rate of places grows evenly with the server's warmth, from its start on. Where nodes do
  * not quite agree on the rate, their places only lie less evenly.
  *
- * <p>Times are microseconds. Calls cost constant time. For one thread at a time.
+ * <p>Ages and times are seconds. Calls cost constant time. For one thread at a time.
  */
 public final class ColdShare {
   private final int first;
@@ -19,17 +19,21 @@
   private double owed;
 
   /**
-   * @param rank this node's, from 0
+   * @param turn this node's rank, put on by a number that all nodes have for the server, so that
+   *     servers begin with different nodes
    * @param nodes how many nodes there are, at least one
-   * @param server its id, by which servers begin with different nodes
    */
-  public ColdShare(int rank, int nodes, String server) {
+  public ColdShare(int turn, int nodes) {
     this.nodes = Math.max(1, nodes);
-    int mixed = server.hashCode() * 0x9E3779B1;
-    first = Math.floorMod(rank + (mixed >>> 15), this.nodes);
+    first = Math.floorMod(turn, this.nodes);
   }
 
-  /** Whether a place that is this node's has come up lately and is not yet taken. */
+  /**
+   * Whether a place that is this node's has come up lately and is not yet taken.
+   *
+   * @param age the server's
+   * @param valid for how long a place holds
+   */
   public boolean free(Warming warming, double age, double valid) {
     long last = last(warming, age);
     return last > taken && age - warming.reached(last + 1.0) <= valid;
--- a/src/main/java/ashspar/limits/Elsewhere.java
+++ b/src/main/java/ashspar/limits/Elsewhere.java
@@ -1,6 +1,7 @@
 package ashspar.limits;
 
 import java.util.ArrayDeque;
+import java.util.Iterator;
 
 /**
  * What the other nodes are taken to have placed meanwhile: as much as this node, each of them, and
@@ -8,8 +9,9 @@
  * and wrong at each server: of fourteen nodes, one connection placed by one of them read as
  * fourteen at its server, which so looked full to that node, and not at all to the thirteen.
  *
- * <p>Counts are connections of this node, ended ones taken off; times are microseconds. A count is
- * O(1), a look back O(log n) in the changes kept. For one thread at a time.
+ * <p>Counts are connections of this node, ended ones taken off; times are microseconds. A count
+ * costs constant time, a look back as much as there are changes since then. For one thread at a
+ * time.
  */
 public final class Elsewhere {
   /** Changes kept at most: no report is older than a few seconds, and the rest counts as old. */
@@ -18,6 +20,11 @@
   private final ArrayDeque<long[]> changes = new ArrayDeque<>();
   private long total;
 
+  /** Nothing has been placed yet. */
+  public Elsewhere() {
+    changes.add(new long[] {Long.MIN_VALUE, 0});
+  }
+
   /** Connections placed so far, less those that have ended. */
   public long total() {
     return total;
@@ -27,7 +34,7 @@
   public void add(long now, int connections) {
     total += connections;
     long[] last = changes.peekLast();
-    if (last != null && last[0] == now) {
+    if (last[0] == now) {
       last[1] = total;
       return;
     }
@@ -39,13 +46,11 @@
 
   /** The {@link #total} as it was at a time; as of the oldest change kept, where that is later. */
   public long totalAt(long time) {
-    long at = changes.isEmpty() ? total : changes.peekFirst()[1];
-    for (long[] change : changes) {
-      if (change[0] > time) {
-        break;
-      }
-      at = change[1];
+    Iterator<long[]> back = changes.descendingIterator();
+    long[] change = back.next();
+    while (change[0] > time && back.hasNext()) {
+      change = back.next();
     }
-    return at;
+    return change[1];
   }
 }
--- a/src/main/java/ashspar/limits/Groups.java
+++ b/src/main/java/ashspar/limits/Groups.java
@@ -18,9 +18,6 @@
    */
   private static final double HOLDS = 0.75;
 
-  /** Nodes of which each sees enough to go by what it holds itself. */
-  private static final int FEW = 4;
-
   private final int server;
   private final Map<String, Integer> counts = new HashMap<>();
 
@@ -32,13 +29,13 @@
   /**
    * How much a connection of this group is liked here, from 0 to 1; 0 where it has no group.
    *
-   * @param nodes how many hold groups of their own: of many, each knows but a part of who holds one
+   * @param seen the part that this node sees of who holds it, from above 0 to 1
    */
-  double liking(String group, int nodes) {
+  double liking(String group, double seen) {
     if (group == null) {
       return 0;
     }
-    double holds = HOLDS * Math.min(1, (double) FEW / nodes);
+    double holds = HOLDS * seen;
     return (1 - holds) * weight(group) + (counts.containsKey(group) ? holds : 0);
   }
 
--- a/src/main/java/ashspar/limits/Limits.java
+++ b/src/main/java/ashspar/limits/Limits.java
@@ -22,7 +22,8 @@
 
   /**
    * Up to so many nodes that see the same reports are taken to place where this one does. More
-   * spread out, see {@link Elsewhere}; fewer, and small fleets filled the same server together.
+   * spread out, see {@link Elsewhere}, and each knows but a part of who holds which group; fewer,
+   * and small fleets filled the same server together.
    */
   private static final int ALIKE = 4;
 
@@ -170,7 +171,7 @@
 
   /** How much a connection of this group is liked at a server, from 0 to 1. */
   public double liking(ServerLimits server, String group) {
-    return server.groups.liking(group, nodes);
+    return server.groups.liking(group, (double) alike() / nodes);
   }
 
   /** Whether this node holds the group anywhere. */
--- a/src/main/java/brassbank/sim/Run.java
+++ b/src/main/java/brassbank/sim/Run.java
@@ -92,12 +92,19 @@
    * @param wrapping put round the network of each proxy; the identity but where a test plants a bug
    */
   public Run(Plan plan, UnaryOperator<Network> wrapping) {
+    this(plan, wrapping, UnaryOperator.identity());
+  }
+
+  /**
+   * @param told the site as the proxies are told of it; as it is but where a test plants a fault
+   */
+  public Run(Plan plan, UnaryOperator<Network> wrapping, UnaryOperator<Site> told) {
     this.plan = plan;
     draws = new Draws(plan.seed());
     Site site = Site.standard(plan.proxies(), plan.hosts(), plan.rate(), plan.sockets());
     Fabric fabric = new Fabric(agenda, draws, LATENCY, BUFFERS);
     world = new World(agenda, draws, fabric, trace, site);
-    build(site, wrapping);
+    build(site, told.apply(site), wrapping);
     checks =
         new Checks(
             Checks.all(
@@ -126,7 +133,7 @@
     return trace;
   }
 
-  private void build(Site site, UnaryOperator<Network> wrapping) {
+  private void build(Site site, Site told, UnaryOperator<Network> wrapping) {
     Draws.Stream models = draws.of("models");
     List<String> zones = site.zones();
     double[] shares = site.kinds().stream().mapToDouble(Site.HostKind::share).toArray();
@@ -146,7 +153,7 @@
     for (int i = 0; i < site.proxies(); i++) {
       String name = "n" + i;
       Machine machine = world.machine(name, zones.get(i % zones.size()), 0, i + 1);
-      proxies.put(name, new ProxyNode(world, name, i, machine, wrapping));
+      proxies.put(name, new ProxyNode(world, told, name, i, machine, wrapping));
     }
     for (int i = 0; i < zones.size(); i++) {
       Machine machine = world.machine("clients-" + zones.get(i), zones.get(i), 4, i + 1);
--- a/src/main/java/brassbank/sim/actor/Site.java
+++ b/src/main/java/brassbank/sim/actor/Site.java
@@ -56,6 +56,29 @@
       double warmSecondsLeast,
       double warmSecondsMost) {}
 
+  /** The same but for the rule on cold hosts: a test plants a proxy that is told too much. */
+  public Site withFallMultiple(double multiple) {
+    return new Site(
+        zones,
+        proxies,
+        hosts,
+        rate,
+        perCore,
+        groupCost,
+        groups,
+        retries,
+        answerSlack,
+        drainGrace,
+        coldShare,
+        warmUp,
+        multiple,
+        fallWindow,
+        sockets,
+        classes,
+        tenants,
+        kinds);
+  }
+
   /** The deployment that the project was made for: two rooms, three models, two classes. */
   public static Site standard(int proxies, int hosts, double rate, int sockets) {
     return new Site(
--- a/src/main/java/brassbank/sim/check/Recovery.java
+++ b/src/main/java/brassbank/sim/check/Recovery.java
@@ -9,13 +9,13 @@
  * client is served where the fleet has room, and every healthy host is in use.
  */
 final class Recovery extends Rule {
-  /** A host that serves for this long must have been chosen. */
   /**
    * Up to so many hosts that is enough for each of them. The more there are, the likelier chance
    * leaves one out: of 60 hosts with 7 attempts each, it did on every second night.
    */
   private static final double FEW_HOSTS = 12;
 
+  /** A host that serves for this long must have been chosen. */
   private static final long IN_USE_WITHIN = 14 * SECOND;
 
   private final Checks.Figures figures;
--- a/src/main/java/brassbank/sim/cli/SimulateCommand.java
+++ b/src/main/java/brassbank/sim/cli/SimulateCommand.java
@@ -132,6 +132,8 @@
     require(jobs >= 1 && jobs <= MOST_JOBS, "--jobs must be from 1 to " + MOST_JOBS);
     require(!trace || what.seed != null || what.script != null, "--trace needs --seed or --script");
     require(out == null || what.shrink != null, "--out needs --shrink");
+    require(
+        night == null || what.script == null, "--night needs seeds: a script has its own faults");
     require(!json || what.seeds != null, "--json needs --seeds");
     if (what.kinds) {
       return kinds();
--- a/src/main/java/brassbank/sim/fault/Night.java
+++ b/src/main/java/brassbank/sim/fault/Night.java
@@ -5,7 +5,6 @@
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
-import java.util.Map;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
@@ -26,18 +25,21 @@
     }
   },
 
-  /** A zone's hosts and some proxies are lost at once; the hosts return cold. */
+  /**
+   * A zone's hosts and half of its proxies are lost at once; they return cold, and knowing nothing.
+   */
   ZONE {
     @Override
     void draw(Site site) {
       int away = site.between(5_000, 8_000);
-      site.hosts().stream()
-          .limit(site.hosts().size() / 2)
-          .forEach(name -> site.add("host-dark", 8_000, away, name, 0));
-      site.proxies().stream()
-          .limit(site.proxies().size() / 3)
+      int zone = site.between(0, 1);
+      List<String> hosts = site.inZone(FaultKind.On.HOST, zone);
+      hosts.forEach(name -> site.add("host-dark", 8_000, away, name, 0));
+      List<String> proxies = site.inZone(FaultKind.On.PROXY, zone);
+      proxies.stream()
+          .limit(proxies.size() / 2)
           .forEach(name -> site.add("proxy-dark", 8_000, away, name, 0));
-      site.bad();
+      site.bad(site.inZone(FaultKind.On.HOST, 1 - zone));
     }
   },
 
@@ -45,8 +47,8 @@
   JOIN {
     @Override
     void draw(Site site) {
-      site.replaced(0.6, 7_000, 7_000);
-      site.bad();
+      int count = site.replaced(0.6, 7_000, 7_000);
+      site.bad(site.hosts().subList(count, site.hosts().size()));
     }
   };
 
@@ -71,10 +73,14 @@
   static final class Site {
     private final Draws.Stream stream;
     private final List<Fault> faults = new ArrayList<>();
+    private final int proxyCount;
+    private final int hostCount;
     private final List<String> proxies;
     private final List<String> hosts;
 
     private Site(Draws.Stream stream, int proxies, int hosts) {
+      proxyCount = proxies;
+      hostCount = hosts;
       this.stream = stream;
       this.proxies = shuffled(Plan.targets(FaultKind.On.PROXY, proxies, hosts));
       this.hosts = shuffled(Plan.targets(FaultKind.On.HOST, proxies, hosts));
@@ -100,11 +106,20 @@
     }
 
     void add(String kind, long atMillis, long forMillis, String target, double size) {
-      faults.add(new Fault(BY_NAME.get(kind), atMillis, forMillis, target, size));
+      faults.add(new Fault(Kinds.named(kind), atMillis, forMillis, target, size));
+    }
+
+    /** The machines of one of the two zones, which a run deals out in turn. */
+    List<String> inZone(FaultKind.On on, int zone) {
+      List<String> all = Plan.targets(on, proxyCount, hostCount);
+      return IntStream.range(0, all.size())
+          .filter(i -> i % 2 == zone)
+          .mapToObj(all::get)
+          .collect(Collectors.toCollection(ArrayList::new));
     }
 
-    /** This share of the hosts leaves and comes anew, evenly over a time. */
-    void replaced(double share, int from, int within) {
+    /** The first of the hosts, this share of them, leave and come anew, evenly over a time. */
+    int replaced(double share, int from, int within) {
       int count = (int) (share * hosts.size());
       for (int i = 0; i < count; i++) {
         add(
@@ -114,17 +129,14 @@
             hosts.get(i),
             0);
       }
+      return count;
     }
 
-    /** One host in twelve of those that no other fault takes answers most attempts ERR. */
-    void bad() {
-      int count = Math.max(1, hosts.size() / 12);
-      IntStream.rangeClosed(1, count)
-          .mapToObj(i -> hosts.get(hosts.size() - i))
+    /** One in six of these hosts, at least one, answers most attempts ERR. */
+    void bad(List<String> of) {
+      shuffled(of).stream()
+          .limit(Math.max(1, of.size() / 6))
           .forEach(name -> add("host-errs", 6_000, 14_000, name, 0.75));
     }
   }
-
-  private static final Map<String, FaultKind> BY_NAME =
-      Kinds.ALL.stream().collect(Collectors.toMap(FaultKind::name, kind -> kind));
 }
--- a/src/main/java/brassbank/sim/proxy/ProxyNode.java
+++ b/src/main/java/brassbank/sim/proxy/ProxyNode.java
@@ -4,6 +4,7 @@
 import brassbank.config.ConfigException;
 import brassbank.net.Network;
 import brassbank.proxy.Proxy;
+import brassbank.sim.actor.Site;
 import brassbank.sim.actor.World;
 import brassbank.sim.event.Event;
 import brassbank.sim.net.Machine;
@@ -40,6 +41,7 @@
   private static final long RESTART_MOST = 1_500 * MILLI;
 
   private final World world;
+  private final Site told;
   private final String name;
   private final int rank;
   private final Machine machine;
@@ -58,11 +60,18 @@
   private long pausedUntil;
 
   /**
+   * @param told the site as the proxy's settings tell it
    * @param wrapping put round the network of each of its lives; the tests plant bugs here
    */
   public ProxyNode(
-      World world, String name, int rank, Machine machine, UnaryOperator<Network> wrapping) {
+      World world,
+      Site told,
+      String name,
+      int rank,
+      Machine machine,
+      UnaryOperator<Network> wrapping) {
     this.world = world;
+    this.told = told;
     this.name = name;
     this.rank = rank;
     this.machine = machine;
@@ -127,7 +136,7 @@
 
   private String config(int further) {
     return ProxyConfig.text(
-        world.site(),
+        told,
         name,
         rank,
         machine.zone(),
--- a/src/test/java/ashspar/limits/ColdShareTest.java
+++ b/src/test/java/ashspar/limits/ColdShareTest.java
@@ -35,7 +35,7 @@
     SplittableRandom random = new SplittableRandom(nodes * 100 + quiet);
     List<ColdShare> shares = new ArrayList<>();
     for (int rank = 0; rank < nodes; rank++) {
-      shares.add(new ColdShare(rank, nodes, "s-" + quiet));
+      shares.add(new ColdShare(rank + quiet, nodes));
     }
     List<Double> sent = new ArrayList<>();
     for (double age = 0; age < WARM_UP; age += 0.01) {
@@ -66,7 +66,7 @@
 
   @Property(seed = "9", tries = 20)
   void aHeavyConnectionIsPaidWithPlacesToCome(@ForAll @IntRange(min = 1, max = 6) int cost) {
-    ColdShare share = new ColdShare(0, 2, "s");
+    ColdShare share = new ColdShare(0, 2);
     int taken = 0;
     for (double age = 0; age < WARM_UP; age += 0.01) {
       if (share.free(WARMING, age, WINDOW)) {
@@ -82,7 +82,7 @@
   void aBudgetThatIsNotSharedIsCaught(@ForAll @IntRange(max = 4) int quiet) {
     List<ColdShare> shares = new ArrayList<>();
     for (int rank = 0; rank < 14; rank++) {
-      shares.add(new ColdShare(0, 1, "s-" + quiet));
+      shares.add(new ColdShare(rank, 1));
     }
     double from = 2 + quiet;
     int sent = 0;
--- a/src/test/java/ashspar/limits/LimitsTest.java
+++ b/src/test/java/ashspar/limits/LimitsTest.java
@@ -508,4 +508,33 @@
     limits.measure(0, 0.5, 20, 1);
     assertThat(limits.turnover(server)).isCloseTo(40 / limits.lives.mean(), within(0.1));
   }
+
+  @Example
+  void whatWasPlacedBeforeATimeIsKnownFromTheBeginningOn() {
+    Elsewhere elsewhere = new Elsewhere();
+    assertThat(elsewhere.totalAt(0)).isZero();
+    for (int i = 1; i <= 600; i++) {
+      elsewhere.add(i * MS, 1);
+      assertThat(elsewhere.totalAt(0)).isEqualTo(Math.max(0, i - 511));
+      assertThat(elsewhere.totalAt(i * MS - 1)).isEqualTo(i - 1);
+    }
+    assertThat(elsewhere.totalAt(SECOND)).isEqualTo(elsewhere.total()).isEqualTo(600);
+  }
+
+  @Example
+  void livesAreMeasuredByTheTimeThatConnectionsStood() {
+    Lives lives = new Lives();
+    double usual = lives.mean();
+    for (int second = 0; second <= 300; second++) {
+      lives.count(second * SECOND, 20);
+      lives.ended(1);
+      if (second % 2 == 0) {
+        // One that its server sent away: it had not ended by itself.
+        lives.ended(1);
+        lives.ended(-1);
+      }
+    }
+    assertThat(usual).isEqualTo(30);
+    assertThat(lives.mean()).as("20 stand, one ends each second").isBetween(19.0, 21.0);
+  }
 }
--- a/src/test/java/brassbank/sim/SimulationTest.java
+++ b/src/test/java/brassbank/sim/SimulationTest.java
@@ -62,6 +62,27 @@
     }
   }
 
+  /**
+   * A budget that nothing bounds, as while sizes were taken for cores. Fourteen times the budget,
+   * one that is not shared, is no breach: what a host is taken to hold keeps the proxies off.
+   */
+  @Test
+  void catchesAColdHostsBudgetWithoutABound() {
+    List<Breach> breaches =
+        LongStream.rangeClosed(1, 4)
+            .parallel()
+            .mapToObj(seed -> Night.JOIN.plan(seed, 40, Night.PROXIES, Night.HOSTS, 60))
+            .map(
+                plan ->
+                    new Run(
+                        plan,
+                        UnaryOperator.identity(),
+                        site -> site.withFallMultiple(1_000 * site.fallMultiple())))
+            .flatMap(run -> run.go().breaches().stream())
+            .toList();
+    assertThat(breaches).anyMatch(breach -> breach.rule().startsWith("no cold host pushed over"));
+  }
+
   static Stream<Path> pinned() throws IOException {
     try (Stream<Path> files = Files.list(Path.of("src/test/resources/pinned"))) {
       return files.sorted().toList().stream();
