Hear the operators' calls, and send clients away by one plan: status, standby, active

Cause: told to drain, the proxy heard nothing: there was no listener where operators call.

Change: brassbank.management answers GET /status, PUT /standby and PUT /active on a door of its own in net (25 descriptors kept back, events first in a turn, the oldest of 24 connections gives way). brassbank.lifecycle is a pure table of states; StopPlan became its Departure, for SIGTERM and standby alike. PING gets BUSY while clients leave.

--- a/src/main/java/brassbank/config/Config.java
+++ b/src/main/java/brassbank/config/Config.java
@@ -24,11 +24,13 @@
  * All that a proxy is told at its start. The settings go through the adapter's reader, so that the
  * module gets the same ones here as on the simulator's wire.
  *
+ * @param management where operators call, or null for nowhere
  * @param reportFields the names that a load report's values have on the sockets, in their order
  */
 public record Config(
     String name,
     InetSocketAddress listen,
+    InetSocketAddress management,
     InetSocketAddress discovery,
     long seed,
     int sockets,
@@ -104,6 +106,7 @@
     return new Config(
         value(env, "LB_NAME", json, "name"),
         address("listen", value(env, "LB_LISTEN", json, "listen")),
+        management(env, json),
         address(
             "discovery",
             value(
@@ -122,16 +125,28 @@
 
   private static String value(Map<String, String> env, String variable, JsonObject json, String key)
       throws ConfigException {
-    String value = env.get(variable);
-    if (value == null || value.isBlank()) {
-      value = json.has(key) ? json.get(key).getAsString() : "";
-    }
+    String value = given(env, variable, json, key);
     if (value.isBlank()) {
       throw new ConfigException("neither " + variable + " nor '" + key + "' is given");
     }
     return value;
   }
 
+  private static String given(
+      Map<String, String> env, String variable, JsonObject json, String key) {
+    String value = env.get(variable);
+    if (value != null && !value.isBlank()) {
+      return value;
+    }
+    return json.has(key) && !json.get(key).isJsonNull() ? json.get(key).getAsString() : "";
+  }
+
+  private static InetSocketAddress management(Map<String, String> env, JsonObject json)
+      throws ConfigException {
+    String value = given(env, "LB_MANAGEMENT", json, "management");
+    return value.isBlank() ? null : address("management", value);
+  }
+
   private static InetSocketAddress address(String what, String text) throws ConfigException {
     try {
       return TargetList.address(text);
--- a/src/main/java/brassbank/decide/Decider.java
+++ b/src/main/java/brassbank/decide/Decider.java
@@ -7,6 +7,10 @@
 import ashspar.Balancer;
 import ashspar.Policy;
 import ashspar.limits.LimitsSnapshot;
+import brassbank.lifecycle.Departure;
+import brassbank.lifecycle.Event;
+import brassbank.lifecycle.Lifecycle;
+import brassbank.lifecycle.State;
 import brassbank.log.Log;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -78,7 +82,7 @@
     ANSWER_DUE,
     UNANSWERED,
     REJOIN,
-    STOP
+    LEAVE
   }
 
   /** A time to look at something again; {@code subject} is a token, or a flow's id. */
@@ -109,7 +113,7 @@
   private List<Decision> out = new ArrayList<>();
   private long alarmCount;
   private long now;
-  private StopPlan stopPlan;
+  private final Lifecycle lifecycle = new Lifecycle();
 
   /** Starts the module with the list that this proxy last had. */
   public Decider(Balancer.Settings settings, long seed, TargetList known, FlowClock clock) {
@@ -137,6 +141,9 @@
   public List<Decision> pick(Flow flow) {
     now = clock.now();
     Balancer.require(!ledger.containsKey(flow.id()), "flow " + flow.id() + " is known");
+    if (lifecycle.refuses(now)) {
+      return List.of(new Decision.FixedResponse(flow.id(), retryMillis()));
+    }
     if (settings.classes().stream().noneMatch(c -> c.name().equals(flow.flowClass()))) {
       return List.of(new Decision.Fail(flow.id()));
     }
@@ -195,13 +202,13 @@
       settings(configured.settings());
       module.settings(now, settings);
     } else if (happening instanceof Happening.Stopping stopping) {
-      stopPlan = new StopPlan(now, stopping.by());
-      LOG.info(
-          "stop-planned",
-          value("flows", ledger.size()),
-          value("from_ms", stopPlan.untilFirst(now, ledger.size()) / MILLI),
-          value("to_ms", stopPlan.untilEnd(now) / MILLI));
-      alarm(now, AlarmKind.STOP, 0, 0);
+      leave("stop-planned", lifecycle.stop(now, stopping.by()));
+    } else if (happening instanceof Happening.StandbyAsked) {
+      leave("drain-planned", lifecycle.on(Event.STANDBY, now));
+    } else if (happening instanceof Happening.ActiveAsked) {
+      lifecycle.on(Event.ACTIVE, now);
+    } else if (happening instanceof Happening.Serving) {
+      lifecycle.on(Event.SERVING, now);
     }
     return decided();
   }
@@ -225,9 +232,19 @@
     return ledger.size();
   }
 
-  /** Whether any target is known, so that clients can be served. */
-  public boolean ready() {
-    return !group.isEmpty();
+  /** Whether clients are taken: none is before any target is known. */
+  public boolean admits() {
+    return lifecycle.state() == State.ACTIVE && !group.isEmpty();
+  }
+
+  /** Whether the clients are to go elsewhere. */
+  public boolean leaving() {
+    return lifecycle.state().leaving();
+  }
+
+  /** What the proxy is now. */
+  public State state() {
+    return lifecycle.state();
   }
 
   /** What the module holds itself to now, as plain values. */
@@ -416,8 +433,10 @@
       module.timer(now, alarm.subject());
       return;
     }
-    if (alarm.kind() == AlarmKind.STOP) {
-      stop();
+    if (alarm.kind() == AlarmKind.LEAVE) {
+      if (alarm.subject() == lifecycle.number()) {
+        step();
+      }
       return;
     }
     Entry entry = ledger.get(alarm.subject());
@@ -476,32 +495,50 @@
     out.add(new Decision.FixedResponse(entry.flow.id(), retryMillis()));
   }
 
-  /** A planned stop knows when its clients reach another proxy; else no better time is known. */
+  /** Who leaves knows when its clients reach another proxy; else no better time is known. */
   private long retryMillis() {
     Balancer.Limits limits = settings.limits();
-    if (stopPlan == null || !limits.retryAfter()) {
-      return 0;
-    }
-    return Math.min(stopPlan.comeBackAfter(now), limits.maxRetryAfter()) / MILLI;
+    return limits.retryAfter()
+        ? Math.min(lifecycle.comeBackAfter(now), limits.maxRetryAfter()) / MILLI
+        : 0;
   }
 
-  // ------------------------------------------------------------- planned stop
+  // ---------------------------------------------------------------- departure
+
+  private void leave(String event, boolean begun) {
+    if (begun) {
+      Departure departure = lifecycle.departure();
+      LOG.info(
+          event,
+          value("flows", ledger.size()),
+          value("from_ms", departure.untilFirst(now, ledger.size()) / MILLI),
+          value("to_ms", departure.untilEnd(now) / MILLI));
+      alarm(now, AlarmKind.LEAVE, lifecycle.number(), 0);
+    }
+  }
 
   /**
-   * Takes the stop one step on: clients are moved, and flows that wait are refused, when the plan
-   * says so. What waits goes first, since nobody serves it here. A forward that is out may still be
-   * answered until the end.
+   * Takes the departure one step on: clients are moved, and flows that wait are refused, when the
+   * plan says so. What waits goes first, since nobody serves it here. A forward that is out may
+   * still be answered until the end.
    */
-  private void stop() {
+  private void step() {
     List<Entry> going = new ArrayList<>(ledger.size());
     ledger.values().stream().filter(e -> e.stage == Stage.HELD).forEach(going::add);
     ledger.values().stream().filter(e -> e.stage == Stage.UP).forEach(going::add);
-    StopPlan.Step step = stopPlan.step(now, going.size());
+    Departure.Step step = lifecycle.step(now, going.size(), ledger.size());
+    if (step == null) {
+      return;
+    }
     going.stream().limit(step.count()).forEach(this::sendAway);
-    if (stopPlan.over(now)) {
+    if (lifecycle.refuses(now)) {
       List.copyOf(ledger.values()).forEach(this::sendAway);
     }
-    alarm(step.next(), AlarmKind.STOP, 0, 0);
+    if (lifecycle.departure() == null) {
+      LOG.info("drained");
+    } else {
+      alarm(step.next(), AlarmKind.LEAVE, lifecycle.number(), 0);
+    }
   }
 
   private void sendAway(Entry entry) {
--- a/src/main/java/brassbank/decide/Happening.java
+++ b/src/main/java/brassbank/decide/Happening.java
@@ -40,6 +40,15 @@
   /** The operators have changed the settings. */
   record Configured(Balancer.Settings settings) implements Happening {}
 
+  /** The proxy takes connections. */
+  record Serving() implements Happening {}
+
+  /** An operator asks to have the clients sent away. */
+  record StandbyAsked() implements Happening {}
+
+  /** An operator asks to have clients taken. */
+  record ActiveAsked() implements Happening {}
+
   /** The proxy is to stop by then (the facade's clock). */
   record Stopping(long by) implements Happening {}
 }
--- a/src/main/java/brassbank/forward/Dispatcher.java
+++ b/src/main/java/brassbank/forward/Dispatcher.java
@@ -90,9 +90,14 @@
     report(new Happening.Configured(settings));
   }
 
-  /** Whether clients can be served. */
-  public boolean ready() {
-    return decider.ready();
+  /** Whether clients are taken. */
+  public boolean admits() {
+    return decider.admits();
+  }
+
+  /** Whether the clients are to go elsewhere. */
+  public boolean leaving() {
+    return decider.leaving();
   }
 
   /** A front's new flow; the client is told its answer. */
--- a/src/main/java/brassbank/front/Front.java
+++ b/src/main/java/brassbank/front/Front.java
@@ -178,10 +178,12 @@
       admit();
     }
 
-    /** PONG brings clients: it waits until a target is known. */
+    /** PONG brings clients: it waits until they can be served, and is none while they leave. */
     private void admit() {
-      if (dispatcher.ready()) {
+      if (dispatcher.admits()) {
         link.send("PONG");
+      } else if (dispatcher.leaving()) {
+        link.send("BUSY");
       } else if (link.isOpen()) {
         net.loop().after(READY_MICROS, this::admit);
       }
--- a/src/main/java/brassbank/grizzly/ChannelFilter.java
+++ b/src/main/java/brassbank/grizzly/ChannelFilter.java
@@ -15,15 +15,23 @@
 final class ChannelFilter extends TransportFilter {
   private static final Log LOG = Log.of("channel");
 
+  private final boolean first;
   private final Consumer<Channel> accepted;
 
-  /** {@code accepted} gets the connections that a listener with this filter takes. */
-  ChannelFilter(Consumer<Channel> accepted) {
+  /**
+   * {@code accepted} gets the connections that a listener with this filter takes; with {@code
+   * first} their events go before others.
+   */
+  ChannelFilter(boolean first, Consumer<Channel> accepted) {
+    this.first = first;
     this.accepted = accepted;
   }
 
   @Override
   public NextAction handleAccept(FilterChainContext ctx) throws IOException {
+    if (first) {
+      TurningSelector.putFirst(ctx.getConnection());
+    }
     accepted.accept(GrizzlyChannel.on(ctx.getConnection()));
     return ctx.getInvokeAction();
   }
--- a/src/main/java/brassbank/grizzly/GrizzlyNetwork.java
+++ b/src/main/java/brassbank/grizzly/GrizzlyNetwork.java
@@ -34,7 +34,7 @@
   private final Clock clock;
   private final TurningSelector selector;
   private final TCPNIOTransport transport;
-  private final FilterChain connected = chain(channel -> {});
+  private final FilterChain connected = chain(false, channel -> {});
 
   public GrizzlyNetwork(Clock clock) {
     this.clock = clock;
@@ -69,8 +69,8 @@
             task -> new DefaultWorkerThread(Grizzly.DEFAULT_ATTRIBUTE_BUILDER, "net", pool, task));
   }
 
-  private static FilterChain chain(Consumer<Channel> accepted) {
-    return FilterChainBuilder.stateless().add(new ChannelFilter(accepted)).build();
+  private static FilterChain chain(boolean first, Consumer<Channel> accepted) {
+    return FilterChainBuilder.stateless().add(new ChannelFilter(first, accepted)).build();
   }
 
   @Override
@@ -80,9 +80,16 @@
   }
 
   @Override
-  public Listener listen(InetSocketAddress address, Consumer<Channel> accepted) throws IOException {
+  public Listener listen(InetSocketAddress address, boolean first, Consumer<Channel> accepted)
+      throws IOException {
     TCPNIOServerConnection server =
-        TCPNIOBindingHandler.builder(transport).processor(chain(accepted)).build().bind(address);
+        TCPNIOBindingHandler.builder(transport)
+            .processor(chain(first, accepted))
+            .build()
+            .bind(address);
+    if (first) {
+      TurningSelector.putFirst(server);
+    }
     return on -> {
       try {
         if (on) {
--- a/src/main/java/brassbank/grizzly/TurningSelector.java
+++ b/src/main/java/brassbank/grizzly/TurningSelector.java
@@ -14,6 +14,9 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.function.Consumer;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.Grizzly;
+import org.glassfish.grizzly.attributes.Attribute;
 import org.glassfish.grizzly.nio.DefaultSelectorHandler;
 import org.glassfish.grizzly.nio.SelectorRunner;
 
@@ -32,12 +35,17 @@
   private static final class Ready extends AbstractSet<SelectionKey>
       implements Consumer<SelectionKey>, Iterator<SelectionKey> {
     private final List<SelectionKey> keys = new ArrayList<>();
+    private int first;
     private int next;
 
     /** Called by the selector, once for each key. */
     @Override
     public void accept(SelectionKey key) {
-      keys.add(key);
+      if (key.attachment() instanceof Connection<?> connection && FIRST.isSet(connection)) {
+        keys.add(first++, key);
+      } else {
+        keys.add(key);
+      }
     }
 
     /** The same one each time: a turn walks through its keys once, and there are many turns. */
@@ -68,9 +76,13 @@
     @Override
     public void clear() {
       keys.clear();
+      first = 0;
     }
   }
 
+  private static final Attribute<Boolean> FIRST =
+      Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("brassbank.first");
+
   private final Clock clock;
   private final Ready ready = new Ready();
   private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
@@ -84,6 +96,11 @@
     this.clock = clock;
   }
 
+  /** Has the connection's events go before the others of a turn. */
+  static void putFirst(Connection<?> connection) {
+    FIRST.set(connection, true);
+  }
+
   /** To be called before the selector's first turn. */
   void loop(Loop turned) {
     loop = turned;
--- a/src/main/java/brassbank/decide/StopPlan.java
+++ b/src/main/java/brassbank/lifecycle/Departure.java
@@ -1,8 +1,8 @@
-package brassbank.decide;
+package brassbank.lifecycle;
 
 /**
- * When a planned stop moves its clients: late, one after the other, evenly, and all of them in time
- * before the program is killed. Whoever is moved early has nowhere better to go.
+ * When clients that are to leave are moved: one after the other, evenly, and all of them in time.
+ * They are moved as late as that allows, since whoever is moved early has nowhere better to go.
  *
  * <p>Each {@link #step} is told how many clients are left and spreads them over what is left of the
  * time, so that clients that leave by themselves slow the others' pace. What a late step missed it
@@ -11,7 +11,7 @@
  * <p>No clock, no thread, no I/O; called from one thread. All times are microseconds of the
  * caller's clock.
  */
-final class StopPlan {
+public final class Departure {
   private static final long MILLI = 1_000;
 
   /**
@@ -20,13 +20,22 @@
    */
   static final long END_MARGIN = 600 * MILLI;
 
+  /**
+   * After a call for standby the last client is moved by then. It may be held for 4 s; a farewell
+   * waits as above, and a starved core needs the rest.
+   */
+  static final long STANDBY = 3_000 * MILLI;
+
   /** The least time that moves are spread over, so that even a few never come back all at once. */
   static final long LEAST_WINDOW = 400 * MILLI;
 
   /** Each client has this much time of its own; docs/start-and-stop.md has the measurement. */
   static final long PER_CLIENT = 3 * MILLI;
 
-  /** For so long after the signal the front may still send clients here (PROTOCOL, Figures). */
+  /**
+   * For so long after the signal or the call the front may still send clients here (PROTOCOL,
+   * Figures).
+   */
   static final long STILL_COMING = 400 * MILLI;
 
   /** A refused client is asked to wait at least this long, as the module asks its own. */
@@ -44,7 +53,7 @@
    * @param count how many clients to send away now
    * @param next the time of the next step, later than now
    */
-  record Step(int count, long next) {}
+  public record Step(int count, long next) {}
 
   private final long start;
   private final long end;
@@ -54,16 +63,30 @@
 
   private boolean begun;
 
+  private Departure(long now, long end) {
+    start = now;
+    this.end = Math.max(now, end);
+  }
+
   /**
-   * Begins at the signal.
+   * For a program that is to end.
    *
    * @param now when the signal came
    * @param killAt when the program may be killed; where that is nearer than the margin, all clients
    *     are sent away at once
    */
-  StopPlan(long now, long killAt) {
-    start = now;
-    end = Math.max(now, killAt - END_MARGIN);
+  static Departure beforeKill(long now, long killAt) {
+    return new Departure(now, killAt - END_MARGIN);
+  }
+
+  /** For a program that stays, and is to hold no client soon after {@code now}, the call. */
+  static Departure toStandby(long now) {
+    return new Departure(now, now + STANDBY);
+  }
+
+  /** The same departure, over no later than another that has begun before. */
+  Departure noLaterThan(Departure other) {
+    return other == null ? this : new Departure(start, Math.min(end, other.end));
   }
 
   /** Whether the time is up, so that all who are left must go now. */
@@ -100,18 +123,23 @@
     return Math.max(start, end - Math.max(LEAST_WINDOW, left * PER_CLIENT));
   }
 
+  /** Whether the front has had time to hear that no clients are wanted. */
+  boolean quiet(long now) {
+    return now >= start + STILL_COMING;
+  }
+
   /** How long a client that is refused now had better wait: until the front sends it elsewhere. */
   long comeBackAfter(long now) {
     return Math.max(LEAST_RETRY, start + STILL_COMING - now);
   }
 
   /** How long the first of so many clients stays, if none leaves by itself. */
-  long untilFirst(long now, int left) {
+  public long untilFirst(long now, int left) {
     return Math.max(0, begin(left) - now);
   }
 
   /** How long the last one stays at most. */
-  long untilEnd(long now) {
+  public long untilEnd(long now) {
     return Math.max(0, end - now);
   }
 }
--- /dev/null
+++ b/src/main/java/brassbank/management/Management.java
@@ -0,0 +1,129 @@
+package brassbank.management;
+
+import static brassbank.log.Field.value;
+
+import brassbank.log.Log;
+import brassbank.net.Link;
+import brassbank.net.Loop;
+import brassbank.net.Net;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+/**
+ * Takes the operators' calls, one to a connection, and answers each as soon as it is whole. A call
+ * that is not whole in time is told so, and the oldest connection gives way to a new one, so that
+ * callers who hold theirs are in nobody's way. Everything runs on the loop's thread.
+ */
+public final class Management {
+  private static final Log LOG = Log.of("management");
+
+  /** Connections at a time; the descriptors that the clients lack for it are one more. */
+  private static final int PLACES = 24;
+
+  /** A call is whole by then, or is told that it came too late. */
+  private static final long WHOLE_MICROS = 2_000_000;
+
+  private final Net net;
+  private final Operators operators;
+
+  /** The oldest first. */
+  private final Set<Caller> callers = new LinkedHashSet<>();
+
+  public Management(Net net, Operators operators) {
+    this.net = net;
+    this.operators = operators;
+  }
+
+  /** Listens at this address, before the clients' address is listened at. */
+  public void listen(InetSocketAddress address) throws IOException {
+    net.listenApart(address, PLACES, this::accept);
+  }
+
+  private void accept(Link link) {
+    if (callers.size() == PLACES) {
+      callers.iterator().next().late();
+    }
+    Caller caller = new Caller(link);
+    link.owner(caller);
+    callers.add(caller);
+    caller.limit = net.loop().after(WHOLE_MICROS, caller::late);
+    // What came with the connection is answered before another can push it out.
+    link.receive();
+  }
+
+  /** One connection, until its descriptor is free. */
+  private final class Caller implements Link.Owner {
+    private final Link link;
+    private final Request request = new Request();
+    private Loop.Timer limit;
+    private boolean answered;
+
+    Caller(Link link) {
+      this.link = link;
+    }
+
+    @Override
+    public void received(Link from) {
+      while (request.inHead()) {
+        String line = link.buffer().nextLine();
+        if (link.buffer().overlong()) {
+          request.tooLong();
+        } else if (line == null) {
+          return;
+        } else {
+          request.line(line);
+        }
+      }
+      if (answered) {
+        // What follows the call is thrown away, so that the end does not become a reset.
+        link.buffer().clear();
+        return;
+      }
+      Reply reply = request.reply(link.buffer().held(), operators);
+      if (reply != null) {
+        answer(reply);
+      }
+    }
+
+    /** A connection whose every byte was read ends at once; another is read until its end. */
+    private void answer(Reply reply) {
+      answered = true;
+      if (reply.status() >= 400) {
+        LOG.info("call-refused", value("status", reply.status()), value("reason", reply.text()));
+      }
+      if (reply.status() == 200 || reply.status() == 503) {
+        end(reply);
+      } else {
+        link.send(reply.lines());
+        link.finish();
+      }
+    }
+
+    private void end(Reply reply) {
+      over();
+      link.drop(reply.lines());
+    }
+
+    private void late() {
+      if (answered) {
+        over();
+        link.drop("");
+      } else {
+        end(new Reply(408, "no whole call in time"));
+      }
+    }
+
+    @Override
+    public void ended(Link from, boolean reset) {
+      over();
+      link.close();
+    }
+
+    private void over() {
+      limit.cancel();
+      callers.remove(this);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/brassbank/management/Reply.java
@@ -0,0 +1,44 @@
+package brassbank.management;
+
+/**
+ * An answer to a call.
+ *
+ * @param status the status of RFC 9110
+ * @param text one line for a person, in ASCII
+ * @param fields further header lines, each with its end
+ */
+record Reply(int status, String text, String fields) {
+  Reply(int status, String text) {
+    this(status, text, "");
+  }
+
+  private String reason() {
+    return switch (status) {
+      case 200 -> "OK";
+      case 400 -> "Bad Request";
+      case 404 -> "Not Found";
+      case 405 -> "Method Not Allowed";
+      case 408 -> "Request Timeout";
+      case 409 -> "Conflict";
+      case 411 -> "Length Required";
+      case 413 -> "Content Too Large";
+      case 431 -> "Request Header Fields Too Large";
+      case 503 -> "Service Unavailable";
+      default -> throw new IllegalStateException("no reason for status " + status);
+    };
+  }
+
+  /** The answer as it goes over the connection, which ends with it; its last line end is left. */
+  String lines() {
+    return "HTTP/1.1 "
+        + status
+        + " "
+        + reason()
+        + "\r\nContent-Type: text/plain; charset=us-ascii\r\nContent-Length: "
+        + (text.length() + 2)
+        + "\r\nCache-Control: no-store\r\nConnection: close\r\n"
+        + fields
+        + "\r\n"
+        + text;
+  }
+}
--- a/src/main/java/brassbank/net/LineBuffer.java
+++ b/src/main/java/brassbank/net/LineBuffer.java
@@ -91,6 +91,13 @@
     return overlong;
   }
 
+  /** Throws away what has come and is in no line taken yet. */
+  public void clear() {
+    start = 0;
+    scanned = 0;
+    end = 0;
+  }
+
   /** Bytes that have come and are in no line taken yet. */
   public int held() {
     return end - start;
--- a/src/main/java/brassbank/net/Link.java
+++ b/src/main/java/brassbank/net/Link.java
@@ -368,6 +368,13 @@
     }
   }
 
+  /** Reads now what has come already, without waiting to be told of it. */
+  public void receive() {
+    if (!inputOver && !released) {
+      read();
+    }
+  }
+
   /** Reads what there is, as much as may be at once. */
   private void read() {
     ByteBuffer into;
--- a/src/main/java/brassbank/net/Net.java
+++ b/src/main/java/brassbank/net/Net.java
@@ -42,6 +42,12 @@
   /** In the order of their making, so that a run can be replayed whatever walks through them. */
   private final Set<Link> links = new LinkedHashSet<>();
 
+  /** Links of the operators' door, which have descriptors of their own and make nobody wait. */
+  private final Set<Link> apart = new LinkedHashSet<>();
+
+  /** Descriptors kept back for them. */
+  private int places;
+
   private final Buffers buffers = new Buffers(TURN);
 
   private int runtime = RUNTIME;
@@ -80,10 +86,36 @@
     limit(sockets);
   }
 
+  /**
+   * Takes connections at one more address, apart from the clients': their events come first, and
+   * they hold no more than so many descriptors, which are kept back for them. To be called before
+   * {@link #listen}.
+   *
+   * @param onAccept gets each new link; where there is one more than that, it ends one at once, or
+   *     the oldest ends without a word
+   */
+  public void listenApart(InetSocketAddress address, int places, Consumer<Link> onAccept)
+      throws IOException {
+    this.places = places + 1;
+    network.listen(
+        address,
+        true,
+        channel ->
+            Loop.guarded(
+                () -> {
+                  Link link = new Link(this, channel, null);
+                  apart.add(link);
+                  onAccept.accept(link);
+                  if (apart.size() > places) {
+                    apart.iterator().next().release();
+                  }
+                }));
+  }
+
   /** Sets how many descriptors this process may hold. */
   public void limit(int descriptors) {
     sockets = descriptors;
-    most = Math.max(LEAST, descriptors - runtime - RESERVE);
+    most = Math.max(LEAST, descriptors - runtime - RESERVE - places);
     admit();
   }
 
@@ -136,8 +168,10 @@
   }
 
   void released(Link link) {
-    links.remove(link);
-    admit();
+    if (!apart.remove(link)) {
+      links.remove(link);
+      admit();
+    }
   }
 
   /** An accept without a descriptor would end the listening socket: the backlog waits instead. */
--- a/src/main/java/brassbank/net/Network.java
+++ b/src/main/java/brassbank/net/Network.java
@@ -60,8 +60,20 @@
    */
   void start(Loop loop) throws IOException;
 
-  /** Takes connections at this address and no other; the callee sets each channel's handler. */
-  Listener listen(InetSocketAddress address, Consumer<Channel> accepted) throws IOException;
+  /**
+   * Takes connections at this address and no other; the callee sets each channel's handler.
+   *
+   * @param first whether what the listener and its channels tell goes before all else that is to be
+   *     told at the same time
+   */
+  Listener listen(InetSocketAddress address, boolean first, Consumer<Channel> accepted)
+      throws IOException;
+
+  /** As above, in no order. */
+  default Listener listen(InetSocketAddress address, Consumer<Channel> accepted)
+      throws IOException {
+    return listen(address, false, accepted);
+  }
 
   /**
    * Opens a connection. There is no time limit but the kernel's, which is minutes: whoever asks
--- /dev/null
+++ b/src/main/java/brassbank/proxy/Operation.java
@@ -0,0 +1,42 @@
+package brassbank.proxy;
+
+import brassbank.decide.Decider;
+import brassbank.decide.Happening;
+import brassbank.forward.Dispatcher;
+import brassbank.lifecycle.State;
+import brassbank.management.Operators;
+import java.util.Locale;
+
+/** What operators ask for, as the facade hears it, and its state, as they do. */
+final class Operation implements Operators {
+  private final Decider decider;
+  private final Dispatcher dispatcher;
+
+  Operation(Decider decider, Dispatcher dispatcher) {
+    this.decider = decider;
+    this.dispatcher = dispatcher;
+  }
+
+  @Override
+  public Answer status() {
+    return answer(decider.admits());
+  }
+
+  @Override
+  public Answer standby() {
+    dispatcher.report(new Happening.StandbyAsked());
+    return answer(decider.leaving());
+  }
+
+  /** A proxy that will end takes no clients, whoever asks. */
+  @Override
+  public Answer active() {
+    dispatcher.report(new Happening.ActiveAsked());
+    return answer(decider.state() != State.STOPPING);
+  }
+
+  private Answer answer(boolean yes) {
+    String state = decider.state().name().toLowerCase(Locale.ROOT);
+    return new Answer(yes, state + " flows=" + decider.open());
+  }
+}
--- a/src/main/java/brassbank/proxy/Proxy.java
+++ b/src/main/java/brassbank/proxy/Proxy.java
@@ -11,6 +11,7 @@
 import brassbank.forward.Dispatcher;
 import brassbank.front.Front;
 import brassbank.log.Log;
+import brassbank.management.Management;
 import brassbank.net.Net;
 import brassbank.net.Network;
 import brassbank.relay.Relay;
@@ -87,9 +88,16 @@
   /** Takes clients from here on; throws where the address cannot be had. */
   public void start() throws IOException {
     net.start();
+    if (config.management() != null) {
+      new Management(net, new Operation(decider, dispatcher)).listen(config.management());
+    }
     Front front = new Front(net, dispatcher);
     net.listen(config.listen(), front::accept);
-    net.execute(() -> dispatcher.start(discovery));
+    net.execute(
+        () -> {
+          dispatcher.start(discovery);
+          dispatcher.report(new Happening.Serving());
+        });
   }
 
   /**
--- a/src/main/java/brassbank/sim/proxy/SimNetwork.java
+++ b/src/main/java/brassbank/sim/proxy/SimNetwork.java
@@ -63,9 +63,10 @@
     }
   }
 
+  /** What is told at one time comes in an order of chance here, so that none can be first. */
   @Override
-  public Network.Listener listen(InetSocketAddress address, Consumer<Channel> accepted)
-      throws IOException {
+  public Network.Listener listen(
+      InetSocketAddress address, boolean first, Consumer<Channel> accepted) throws IOException {
     if (!address.getAddress().equals(program.machine().address())) {
       throw new IOException("cannot assign the requested address " + address);
     }
--- a/src/test/java/brassbank/ArchitectureTest.java
+++ b/src/test/java/brassbank/ArchitectureTest.java
@@ -214,7 +214,16 @@
             "brassbank.log",
             "brassbank.sources")
         .check(program);
-    onlyKnows("brassbank.decide", "ashspar", "ashspar.limits", "brassbank.log", "brassbank.sources")
+    onlyKnows("brassbank.lifecycle").check(program);
+    isPure("brassbank.lifecycle").check(program);
+    onlyKnows("brassbank.management", "brassbank.net", "brassbank.log").check(program);
+    onlyKnows(
+            "brassbank.decide",
+            "ashspar",
+            "ashspar.limits",
+            "brassbank.lifecycle",
+            "brassbank.log",
+            "brassbank.sources")
         .check(program);
     onlyKnows(
             "brassbank.config", "ashspar", "ashspar.wire", "brassbank.decide", "brassbank.sources")
--- a/src/test/java/brassbank/ProxyTest.java
+++ b/src/test/java/brassbank/ProxyTest.java
@@ -552,7 +552,8 @@
   @Test
   void answersBusyWhereDescriptorsRunOut() throws Exception {
     Site.Target target = site.target("s-1");
-    site.config.getAsJsonObject("limits").addProperty("sockets", 96);
+    // The operators' door holds 25 of them.
+    site.config.getAsJsonObject("limits").addProperty("sockets", 121);
     site.start(target);
     List<Peer> clients = new ArrayList<>();
     int served = 0;
--- a/src/test/java/brassbank/Site.java
+++ b/src/test/java/brassbank/Site.java
@@ -103,6 +103,7 @@
   private final List<Target> targets = new ArrayList<>();
   final JsonObject config;
   final InetSocketAddress address;
+  final InetSocketAddress management;
 
   /** Watches as they are opened, each to be written to; what they asked for stands beside. */
   final BlockingQueue<HttpExchange> watches = new LinkedBlockingQueue<>();
@@ -129,6 +130,17 @@
     }
     config.addProperty("listen", "127.0.0.2:" + address.getPort());
     config.addProperty("discovery", discovery(watches));
+    try (ServerSocket free = new ServerSocket(0, 1, own)) {
+      management = new InetSocketAddress(own, free.getLocalPort());
+    }
+    config.addProperty("management", "127.0.0.2:" + management.getPort());
+  }
+
+  /** An operator's call, by its method and path; returns the first line of the answer. */
+  String call(String call) throws IOException {
+    try (Peer operator = Peer.to(management).send(call + " HTTP/1.1\r\nHost: x\r\n\r\n")) {
+      return operator.line();
+    }
   }
 
   /** A discovery of its own; its calls are for the test to answer. */
--- /dev/null
+++ b/src/test/java/brassbank/lifecycle/LifecycleTest.java
@@ -0,0 +1,101 @@
+package brassbank.lifecycle;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class LifecycleTest {
+  private static final long NOW = 5_000_000;
+  private static final long KILL = NOW + 3_700_000;
+
+  private final Lifecycle lifecycle = new Lifecycle();
+
+  private void serving() {
+    lifecycle.on(Event.SERVING, NOW);
+  }
+
+  /** The table as the documentation has it, written down a second time. */
+  @ParameterizedTest
+  @CsvSource({
+    "STARTING, ACTIVE, DRAINING, STARTING, STARTING, STOPPING",
+    "ACTIVE, ACTIVE, DRAINING, ACTIVE, ACTIVE, STOPPING",
+    "DRAINING, DRAINING, DRAINING, ACTIVE, STANDBY, STOPPING",
+    "STANDBY, STANDBY, STANDBY, ACTIVE, STANDBY, STOPPING",
+    "STOPPING, STOPPING, STOPPING, STOPPING, STOPPING, STOPPING"
+  })
+  void eachEventHasItsOutcomeInEachState(
+      State from, State serving, State standby, State active, State gone, State stop) {
+    State[] expected = {serving, standby, active, gone, stop};
+    for (Event event : Event.values()) {
+      assertThat(Lifecycle.after(from, event))
+          .as(from + " " + event)
+          .isEqualTo(expected[event.ordinal()]);
+    }
+  }
+
+  @Test
+  void aDrainSendsAllAwayInTimeAndThenTurnsAway() {
+    serving();
+    assertThat(lifecycle.on(Event.STANDBY, NOW)).isTrue();
+    int left = 300;
+    long now = NOW;
+    while (left > 0) {
+      assertThat(lifecycle.refuses(now)).as("at " + (now - NOW)).isFalse();
+      Departure.Step step = lifecycle.step(now, left, left);
+      left -= step.count();
+      now = step.next();
+    }
+    assertThat(now - NOW).isLessThanOrEqualTo(3_100_000);
+    lifecycle.step(now, 0, 0);
+    assertThat(lifecycle.state()).isEqualTo(State.STANDBY);
+    assertThat(lifecycle.refuses(now)).isTrue();
+  }
+
+  @Test
+  void aDrainWithoutClientsIsOverOnceTheFrontHasHeardOfIt() {
+    serving();
+    lifecycle.on(Event.STANDBY, NOW);
+    lifecycle.step(NOW + 300_000, 0, 0);
+    assertThat(lifecycle.state()).isEqualTo(State.DRAINING);
+    lifecycle.step(NOW + 400_000, 0, 1);
+    assertThat(lifecycle.state()).as("an attempt is out").isEqualTo(State.DRAINING);
+    lifecycle.step(NOW + 450_000, 0, 0);
+    assertThat(lifecycle.state()).isEqualTo(State.STANDBY);
+  }
+
+  @Test
+  void aSecondCallChangesNothing() {
+    serving();
+    lifecycle.on(Event.STANDBY, NOW);
+    Departure first = lifecycle.departure();
+    assertThat(lifecycle.on(Event.STANDBY, NOW + 500_000)).isFalse();
+    assertThat(lifecycle.departure()).isSameAs(first);
+  }
+
+  /** Drain, back, drain: the first drain's steps must not hurry the second. */
+  @Test
+  void whoIsCalledBackKeepsItsClientsAndDrainsAnewLater() {
+    serving();
+    lifecycle.on(Event.STANDBY, NOW);
+    int first = lifecycle.number();
+    lifecycle.on(Event.ACTIVE, NOW + 200_000);
+    assertThat(lifecycle.step(NOW + 4_000_000, 10, 10)).isNull();
+    assertThat(lifecycle.refuses(NOW + 4_000_000)).isFalse();
+    lifecycle.on(Event.STANDBY, NOW + 400_000);
+    assertThat(lifecycle.number()).isNotEqualTo(first);
+    assertThat(lifecycle.departure().untilEnd(NOW + 400_000)).isEqualTo(Departure.STANDBY);
+  }
+
+  @Test
+  void aStopInTheMidstOfADrainKeepsTheDrainsTime() {
+    serving();
+    lifecycle.on(Event.STANDBY, NOW);
+    assertThat(lifecycle.stop(NOW + 2_000_000, KILL + 2_000_000)).isTrue();
+    assertThat(lifecycle.departure().untilEnd(NOW + 2_000_000)).isEqualTo(1_000_000);
+    lifecycle.step(NOW + 3_000_000, 0, 0);
+    assertThat(lifecycle.state()).isEqualTo(State.STOPPING);
+    assertThat(lifecycle.stop(NOW + 3_100_000, KILL + 9_000_000)).as("second signal").isFalse();
+  }
+}
--- a/src/test/java/brassbank/net/LinkTest.java
+++ b/src/test/java/brassbank/net/LinkTest.java
@@ -83,7 +83,7 @@
     public void start(Loop loop) {}
 
     @Override
-    public Listener listen(InetSocketAddress address, Consumer<Channel> accepted) {
+    public Listener listen(InetSocketAddress address, boolean first, Consumer<Channel> accepted) {
       throw new UnsupportedOperationException();
     }
 
--- a/src/test/java/brassbank/sim/Wrapped.java
+++ b/src/test/java/brassbank/sim/Wrapped.java
@@ -35,8 +35,9 @@
   }
 
   @Override
-  public Listener listen(InetSocketAddress address, Consumer<Channel> accepted) throws IOException {
-    return real.listen(address, channel -> accepted.accept(fromClient(channel)));
+  public Listener listen(InetSocketAddress address, boolean first, Consumer<Channel> accepted)
+      throws IOException {
+    return real.listen(address, first, channel -> accepted.accept(fromClient(channel)));
   }
 
   @Override
