Upgrade in place: a second process on the inherited listener, and locks that say who accepts

Cause: the second process bound the address again and ended with status 1 (its log: Address already in use); ruled out by that line: memory, descriptors, the old process.

Change: net takes the inherited listener as one more way to a listener, off until it is turned on and never closed; brassbank.handover holds byte locks in TMPDIR, which die with their process; Succession, pure, decides who accepts. SIGTERM with a successor carries all that was accepted on. LB_LISTEN_FD that cannot be used ends the start with status 2. serve.sh takes two thirds of the caps where the variable is set.

--- a/deploy/serve.sh
+++ b/deploy/serve.sh
@@ -16,6 +16,8 @@
 done <"$LB_CONFIG"
 m=${m:-128}
 [ "$m" -le 192 ] || m=192
+# In an upgrade two runtimes stand beside each other within the one limit.
+[ -z "$LB_LISTEN_FD" ] || m=$((m * 2 / 3))
 # The class-data archive that the build makes (deploy/archive.sh) saves half of the start. The
 # runtime itself turns one away that another runtime or jar has made, but it dies of a damaged one:
 # one that was written to after its checksum was taken is not used.
--- a/src/main/java/brassbank/ServeCommand.java
+++ b/src/main/java/brassbank/ServeCommand.java
@@ -6,9 +6,11 @@
 import brassbank.config.Config;
 import brassbank.config.ConfigException;
 import brassbank.grizzly.GrizzlyNetwork;
+import brassbank.handover.Handover;
 import brassbank.log.Console;
 import brassbank.log.Format;
 import brassbank.log.Log;
+import brassbank.net.InheritanceException;
 import brassbank.proxy.Proxy;
 import brassbank.relay.limits.RelayLimits;
 import brassbank.sources.Clock;
@@ -33,6 +35,8 @@
       "",
       "SIGHUP reads the files again while connections stand. SIGTERM is a planned stop: clients are"
           + " moved late, one after the other, then the program ends with status 0.",
+      "LB_LISTEN_FD=0 takes clients from the listening socket inherited as descriptor 0, see"
+          + " docs/handover.md.",
       "A configuration that cannot be used ends it with status 2, an address that cannot be"
           + " listened on with status 1."
     })
@@ -89,11 +93,17 @@
     try {
       proxy = new Proxy(config, limits, new GrizzlyNetwork(clock));
       proxy.start();
+    } catch (InheritanceException e) {
+      System.err.println("brassbank: LB_LISTEN_FD: " + e.getMessage());
+      return Exit.USAGE;
     } catch (IOException | RuntimeException e) {
       System.err.println("brassbank: cannot serve on " + config.listen() + ": " + e.getMessage());
       return Exit.FAILED;
     }
     LOG.info("serving", value("name", config.name()), value("listen", config.listen()));
+    if (config.handover() != null) {
+      succeed(proxy, config, clock);
+    }
     Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(proxy), "stop"));
     try {
       while (true) {
@@ -106,6 +116,31 @@
     return Exit.OK;
   }
 
+  /** Without the file of locks the proxy serves all the same, and no upgrade is seen. */
+  private static void succeed(Proxy proxy, Config config, Clock clock) {
+    try {
+      Handover.begin(
+          config.handover(),
+          new Handover.Process() {
+            @Override
+            public boolean able(boolean first) {
+              return proxy.able(first);
+            }
+
+            @Override
+            public void accept(boolean on, Runnable done) {
+              proxy.accept(on, done);
+            }
+          },
+          clock);
+    } catch (IOException e) {
+      LOG.error("handover-impossible", e);
+      proxy.accept(true, () -> {});
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   private static String named() {
     return System.getenv().getOrDefault(FORMAT, "text");
   }
--- a/src/main/java/brassbank/config/Config.java
+++ b/src/main/java/brassbank/config/Config.java
@@ -25,12 +25,15 @@
  * module gets the same ones here as on the simulator's wire.
  *
  * @param management where operators call, or null for nowhere
+ * @param handover the file by which the processes on an inherited listening socket, descriptor 0,
+ *     see each other; null where the proxy listens by itself
  * @param reportFields the names that a load report's values have on the sockets, in their order
  */
 public record Config(
     String name,
     InetSocketAddress listen,
     InetSocketAddress management,
+    Path handover,
     InetSocketAddress discovery,
     long seed,
     int sockets,
@@ -107,6 +110,7 @@
         value(env, "LB_NAME", json, "name"),
         address("listen", value(env, "LB_LISTEN", json, "listen")),
         management(env, json),
+        handover(env, json),
         address(
             "discovery",
             value(
@@ -141,6 +145,19 @@
     return json.has(key) && !json.get(key).isJsonNull() ? json.get(key).getAsString() : "";
   }
 
+  private static Path handover(Map<String, String> env, JsonObject json) throws ConfigException {
+    String descriptor = env.getOrDefault("LB_LISTEN_FD", "");
+    if (descriptor.isBlank()) {
+      return null;
+    }
+    if (!descriptor.equals("0")) {
+      throw new ConfigException(
+          "LB_LISTEN_FD is '" + descriptor + "': only descriptor 0 can be inherited");
+    }
+    String listen = value(env, "LB_LISTEN", json, "listen").replaceAll("[^0-9A-Za-z.]", "-");
+    return Path.of(env.getOrDefault("TMPDIR", "/tmp"), "brassbank-" + listen + ".handover");
+  }
+
   private static InetSocketAddress management(Map<String, String> env, JsonObject json)
       throws ConfigException {
     String value = given(env, "LB_MANAGEMENT", json, "management");
--- a/src/main/java/brassbank/decide/Decider.java
+++ b/src/main/java/brassbank/decide/Decider.java
@@ -114,6 +114,7 @@
   private long alarmCount;
   private long now;
   private final Lifecycle lifecycle = new Lifecycle();
+  private boolean listed;
 
   /** Starts the module with the list that this proxy last had. */
   public Decider(Balancer.Settings settings, long seed, TargetList known, FlowClock clock) {
@@ -195,6 +196,7 @@
       module.probed(
           now, probed.target(), probed.ending().status, probed.elapsedMicros(), probed.report());
     } else if (happening instanceof Happening.Listed listed) {
+      this.listed = true;
       list(listed.list(), listed.list().whole() ? Balancer.ListKind.FULL : Balancer.ListKind.DELTA);
     } else if (happening instanceof Happening.FetchFailed) {
       module.servers(now, Balancer.ListKind.FAILED, List.of());
@@ -202,11 +204,13 @@
       settings(configured.settings());
       module.settings(now, settings);
     } else if (happening instanceof Happening.Stopping stopping) {
-      leave("stop-planned", lifecycle.stop(now, stopping.by()));
+      leave(lifecycle.stop(now, stopping.by()));
     } else if (happening instanceof Happening.StandbyAsked) {
-      leave("drain-planned", lifecycle.on(Event.STANDBY, now));
+      leave(lifecycle.on(Event.STANDBY, now));
     } else if (happening instanceof Happening.ActiveAsked) {
       lifecycle.on(Event.ACTIVE, now);
+    } else if (happening instanceof Happening.Succeeded succeeded) {
+      lifecycle.succeeded(succeeded.yes());
     } else if (happening instanceof Happening.Serving) {
       lifecycle.on(Event.SERVING, now);
     }
@@ -234,7 +238,17 @@
 
   /** Whether clients are taken: none is before any target is known. */
   public boolean admits() {
-    return lifecycle.state() == State.ACTIVE && !group.isEmpty();
+    return lifecycle.admits() && !group.isEmpty();
+  }
+
+  /** Whether any target is known, so that clients could be served. */
+  public boolean ready() {
+    return !group.isEmpty();
+  }
+
+  /** Whether the whole list has come from discovery, so that what is known is no old one. */
+  public boolean listed() {
+    return listed;
   }
 
   /** Whether the clients are to go elsewhere. */
@@ -505,11 +519,12 @@
 
   // ---------------------------------------------------------------- departure
 
-  private void leave(String event, boolean begun) {
+  private void leave(boolean begun) {
     if (begun) {
       Departure departure = lifecycle.departure();
       LOG.info(
-          event,
+          "departure-planned",
+          value("state", lifecycle.state()),
           value("flows", ledger.size()),
           value("from_ms", departure.untilFirst(now, ledger.size()) / MILLI),
           value("to_ms", departure.untilEnd(now) / MILLI));
--- a/src/main/java/brassbank/decide/Happening.java
+++ b/src/main/java/brassbank/decide/Happening.java
@@ -49,6 +49,9 @@
   /** An operator asks to have clients taken. */
   record ActiveAsked() implements Happening {}
 
+  /** Another process takes the clients from here on, or this one does again. */
+  record Succeeded(boolean yes) implements Happening {}
+
   /** The proxy is to stop by then (the facade's clock). */
   record Stopping(long by) implements Happening {}
 }
--- a/src/main/java/brassbank/front/Front.java
+++ b/src/main/java/brassbank/front/Front.java
@@ -182,6 +182,11 @@
     private void admit() {
       if (dispatcher.admits()) {
         link.send("PONG");
+        if (!net.isOpen() && dispatcher.leaving()) {
+          // It asks again over a new connection, which another process takes: this one will end.
+          spoke();
+          link.close();
+        }
       } else if (dispatcher.leaving()) {
         link.send("BUSY");
       } else if (link.isOpen()) {
--- a/src/main/java/brassbank/grizzly/GrizzlyNetwork.java
+++ b/src/main/java/brassbank/grizzly/GrizzlyNetwork.java
@@ -2,12 +2,14 @@
 
 import brassbank.log.Log;
 import brassbank.net.Channel;
+import brassbank.net.InheritanceException;
 import brassbank.net.Loop;
 import brassbank.net.Network;
 import brassbank.sources.Clock;
 import java.io.File;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.util.function.Consumer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.Grizzly;
@@ -90,17 +92,57 @@
     if (first) {
       TurningSelector.putFirst(server);
     }
-    return on -> {
-      try {
-        if (on) {
-          server.enableIOEvent(IOEvent.SERVER_ACCEPT);
-        } else {
-          server.disableIOEvent(IOEvent.SERVER_ACCEPT);
+    return on -> accepting(server, on);
+  }
+
+  private static void accepting(TCPNIOServerConnection server, boolean on) {
+    try {
+      if (on) {
+        server.enableIOEvent(IOEvent.SERVER_ACCEPT);
+      } else {
+        server.disableIOEvent(IOEvent.SERVER_ACCEPT);
+      }
+    } catch (IOException e) {
+      LOG.error("listener-failed", e);
+    }
+  }
+
+  @Override
+  public Listener inherit(Consumer<Channel> accepted) throws IOException {
+    if (!(System.inheritedChannel() instanceof ServerSocketChannel)) {
+      throw new InheritanceException("descriptor 0 is no listening socket");
+    }
+    return new Inherited(accepted);
+  }
+
+  /**
+   * Grizzly begins to accept as it binds: that is left until the listener is first turned on. It is
+   * never closed, which would put /dev/null in the place of descriptors 0 to 2.
+   */
+  private final class Inherited implements Listener {
+    private final Consumer<Channel> accepted;
+    private TCPNIOServerConnection server;
+
+    Inherited(Consumer<Channel> accepted) {
+      this.accepted = accepted;
+    }
+
+    @Override
+    public void accepting(boolean on) {
+      if (server != null) {
+        GrizzlyNetwork.accepting(server, on);
+      } else if (on) {
+        try {
+          server =
+              TCPNIOBindingHandler.builder(transport)
+                  .processor(chain(false, accepted))
+                  .build()
+                  .bindToInherited();
+        } catch (IOException e) {
+          LOG.error("listener-failed", e);
         }
-      } catch (IOException e) {
-        LOG.error("listener-failed", e);
       }
-    };
+    }
   }
 
   @Override
--- /dev/null
+++ b/src/main/java/brassbank/handover/Handover.java
@@ -0,0 +1,128 @@
+package brassbank.handover;
+
+import static brassbank.log.Field.value;
+
+import brassbank.log.Log;
+import brassbank.sources.Clock;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Looks at the locks on a thread of its own, so that no file keeps the loop waiting, and has the
+ * listener turned on and off as {@link Succession} says. What is told to others is what holds: the
+ * listener is off before the lock says so, and the lock is held before it is on.
+ */
+public final class Handover {
+  private static final Log LOG = Log.of("handover");
+
+  /** How often the locks are looked at: for twice this at most nobody accepts in a hand-over. */
+  private static final long PAUSE_MILLIS = 20;
+
+  /** How long a busy loop may take to turn the listener off, before the others go on. */
+  private static final long DOOR_MILLIS = 2_000;
+
+  private static final int NUMBERING_TRIES = 100;
+
+  /** The process, as its hand-over sees it. Called on the hand-over's thread. */
+  public interface Process {
+    /**
+     * Whether it could serve.
+     *
+     * @param first whether no other process takes connections, so that it should not wait long
+     */
+    boolean able(boolean first);
+
+    /**
+     * Takes connections from now on, or none.
+     *
+     * @param done runs once that holds, on any thread
+     */
+    void accept(boolean on, Runnable done);
+  }
+
+  private final Process process;
+  private final Clock clock;
+  private final Locks locks;
+  private final Succession succession = new Succession();
+
+  private Handover(Process process, Clock clock, Locks locks) {
+    this.process = process;
+    this.clock = clock;
+    this.locks = locks;
+  }
+
+  /**
+   * Begins to look.
+   *
+   * @param file the file of locks, in a folder that all processes on the listener share; made where
+   *     it is not there
+   * @throws IOException where the file of locks cannot be had
+   */
+  public static void begin(Path file, Process process, Clock clock)
+      throws IOException, InterruptedException {
+    Handover handover = new Handover(process, clock, open(file));
+    LOG.info("numbered", value("number", handover.locks.number()));
+    Thread thread = new Thread(handover::run, "handover");
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  /** Another process that has just started may be at its numbering. */
+  private static Locks open(Path path) throws IOException, InterruptedException {
+    for (int i = 1; ; i++) {
+      try {
+        return Locks.open(path);
+      } catch (IOException e) {
+        if (i == NUMBERING_TRIES) {
+          throw e;
+        }
+        TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS / 4);
+      }
+    }
+  }
+
+  private void run() {
+    try {
+      while (true) {
+        try {
+          step();
+        } catch (IOException | RuntimeException e) {
+          LOG.error("handover-failed", e);
+        }
+        TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void step() throws IOException, InterruptedException {
+    Succession.Phase before = succession.phase();
+    long now = TimeUnit.NANOSECONDS.toMicros(clock.nanos());
+    Succession.View view = locks.view();
+    boolean able = before.ready() || process.able(!view.predecessorAccepts());
+    Succession.Phase phase = succession.step(now, view, able);
+    if (before.accepts() && !phase.accepts()) {
+      door(false);
+    }
+    while (!locks.tell(phase)) {
+      TimeUnit.MILLISECONDS.sleep(1);
+    }
+    if (!before.accepts() && phase.accepts()) {
+      door(true);
+    }
+    if (phase != before) {
+      LOG.info("handover", value("phase", phase));
+    }
+  }
+
+  private void door(boolean on) throws InterruptedException {
+    CountDownLatch done = new CountDownLatch(1);
+    process.accept(on, done::countDown);
+    if (!done.await(DOOR_MILLIS, TimeUnit.MILLISECONDS)) {
+      LOG.warn("door-late", value("on", on));
+    }
+  }
+}
--- a/src/main/java/brassbank/lifecycle/Lifecycle.java
+++ b/src/main/java/brassbank/lifecycle/Lifecycle.java
@@ -28,6 +28,11 @@
 
   private State state = STARTING;
 
+  /** The state that a stop came in. */
+  private State last = STARTING;
+
+  private boolean succeeded;
+
   /** Null unless clients are on their way out. */
   private Departure departure;
 
@@ -69,12 +74,23 @@
     if (state == STOPPING) {
       return false;
     }
+    last = state;
     state = after(state, Event.STOP);
     departure = Departure.beforeKill(now, killAt).noLaterThan(departure);
     departures++;
     return true;
   }
 
+  /** Another process takes the proxy's clients from here on, or none does any longer. */
+  public void succeeded(boolean yes) {
+    succeeded = yes;
+  }
+
+  /** Whether the proxy takes clients: by this process, or by one that has succeeded it. */
+  public boolean admits() {
+    return state == ACTIVE || (state == STOPPING && succeeded && last == ACTIVE);
+  }
+
   /** The departure under way, or null. */
   public Departure departure() {
     return departure;
--- a/src/main/java/brassbank/management/Management.java
+++ b/src/main/java/brassbank/management/Management.java
@@ -90,7 +90,8 @@
     /** A connection whose every byte was read ends at once; another is read until its end. */
     private void answer(Reply reply) {
       answered = true;
-      if (reply.status() >= 400) {
+      // A proxy's no is asked for many times a second while it starts or drains.
+      if (reply.status() >= 400 && reply.status() != 409 && reply.status() != 503) {
         LOG.info("call-refused", value("status", reply.status()), value("reason", reply.text()));
       }
       if (reply.status() == 200 || reply.status() == 503) {
--- a/src/main/java/brassbank/net/Net.java
+++ b/src/main/java/brassbank/net/Net.java
@@ -60,6 +60,9 @@
   private Network.Listener listener;
   private boolean accepting = true;
 
+  /** False while another process takes the clients. */
+  private boolean open = true;
+
   public Net(int sockets, Network network) {
     this.network = network;
     loop = new Loop(network.clock());
@@ -72,20 +75,46 @@
 
   /** Takes clients at this address and no other. */
   public void listen(InetSocketAddress address, Consumer<Link> onAccept) throws IOException {
-    listener =
-        network.listen(
-            address,
-            channel ->
-                Loop.guarded(
-                    () -> {
-                      onAccept.accept(adopt(channel, null));
-                      admit();
-                    }));
+    listener = network.listen(address, taking(onAccept));
+    opened();
+  }
+
+  /**
+   * Takes clients from the listening socket that the program inherited, once {@link #open} says.
+   */
+  public void inherit(Consumer<Link> onAccept) throws IOException {
+    listener = network.inherit(taking(onAccept));
+    open = false;
+    accepting = false;
+    opened();
+  }
+
+  private Consumer<Channel> taking(Consumer<Link> onAccept) {
+    return channel ->
+        Loop.guarded(
+            () -> {
+              onAccept.accept(adopt(channel, null));
+              admit();
+            });
+  }
+
+  private void opened() {
     int held = network.descriptors();
     runtime = held < 0 ? RUNTIME : held;
     limit(sockets);
   }
 
+  /** Whether clients are taken, as far as there is room. */
+  public void open(boolean on) {
+    open = on;
+    admit();
+  }
+
+  /** Whether clients are taken. */
+  public boolean isOpen() {
+    return open;
+  }
+
   /**
    * Takes connections at one more address, apart from the clients': their events come first, and
    * they hold no more than so many descriptors, which are kept back for them. To be called before
@@ -177,14 +206,15 @@
   /** An accept without a descriptor would end the listening socket: the backlog waits instead. */
   private void admit() {
     boolean room = used() < most;
-    if (room == accepting || listener == null) {
+    boolean wanted = room && open;
+    if (wanted == accepting || listener == null) {
       return;
     }
-    accepting = room;
+    accepting = wanted;
     if (!room) {
       LOG.warn("descriptors-short", value("open", used()));
     }
-    listener.accepting(room);
+    listener.accepting(wanted);
   }
 
   /** Opens a connection of lines; it has a time limit, since a silent machine never answers. */
--- a/src/main/java/brassbank/net/Network.java
+++ b/src/main/java/brassbank/net/Network.java
@@ -75,6 +75,17 @@
     return listen(address, false, accepted);
   }
 
+  /**
+   * Takes connections from the listening socket that the program was started with as descriptor 0.
+   * It is off from the start, and is never closed: other processes hold it too, and what waits in
+   * its queue is theirs as well.
+   *
+   * @throws InheritanceException where descriptor 0 is no listening socket
+   */
+  default Listener inherit(Consumer<Channel> accepted) throws IOException {
+    throw new InheritanceException("no listening socket is inherited");
+  }
+
   /**
    * Opens a connection. There is no time limit but the kernel's, which is minutes: whoever asks
    * sets one by a timer.
--- a/src/main/java/brassbank/proxy/Operation.java
+++ b/src/main/java/brassbank/proxy/Operation.java
@@ -5,21 +5,25 @@
 import brassbank.forward.Dispatcher;
 import brassbank.lifecycle.State;
 import brassbank.management.Operators;
+import brassbank.net.Net;
 import java.util.Locale;
 
 /** What operators ask for, as the facade hears it, and its state, as they do. */
 final class Operation implements Operators {
   private final Decider decider;
   private final Dispatcher dispatcher;
+  private final Net net;
 
-  Operation(Decider decider, Dispatcher dispatcher) {
+  Operation(Decider decider, Dispatcher dispatcher, Net net) {
     this.decider = decider;
     this.dispatcher = dispatcher;
+    this.net = net;
   }
 
+  /** Of this process: one that another has succeeded takes no clients. */
   @Override
   public Answer status() {
-    return answer(decider.admits());
+    return answer(net.isOpen() && decider.admits());
   }
 
   @Override
--- a/src/main/java/brassbank/proxy/Proxy.java
+++ b/src/main/java/brassbank/proxy/Proxy.java
@@ -48,8 +48,13 @@
 
   private static final long LOOK_AGAIN = 20 * MILLI;
 
+  /** A successor waits so long for discovery's list; then the one that it was started with does. */
+  private static final long LIST_PATIENCE = 2_500 * MILLI;
+
   private final Config config;
   private final FlowClock clock;
+  private final long made;
+  private volatile boolean able;
   private final Net net;
   private final Relay relay;
   private final Decider decider;
@@ -64,6 +69,7 @@
   public Proxy(Config config, RelayLimits limits, Network network) {
     this.config = config;
     clock = new FlowClock(network.clock());
+    made = clock.now();
     net = new Net(config.sockets(), network);
     relay = new Relay(net, limits);
     decider = new Decider(config.settings(), config.seed(), config.known(), clock);
@@ -85,18 +91,58 @@
             new Randomness(config.seed()).part("discovery of " + config.name()));
   }
 
-  /** Takes clients from here on; throws where the address cannot be had. */
+  /**
+   * Takes clients from here on, or once a predecessor on the same listening socket lets go of it;
+   * throws where the address or the socket cannot be had.
+   */
   public void start() throws IOException {
     net.start();
     if (config.management() != null) {
-      new Management(net, new Operation(decider, dispatcher)).listen(config.management());
+      new Management(net, new Operation(decider, dispatcher, net)).listen(config.management());
     }
     Front front = new Front(net, dispatcher);
-    net.listen(config.listen(), front::accept);
+    if (config.handover() != null) {
+      net.inherit(front::accept);
+    } else {
+      net.listen(config.listen(), front::accept);
+    }
     net.execute(
         () -> {
           dispatcher.start(discovery);
-          dispatcher.report(new Happening.Serving());
+          if (net.isOpen()) {
+            dispatcher.report(new Happening.Serving());
+          }
+        });
+  }
+
+  /**
+   * Whether clients could be taken, as of the last time this was asked; any thread may call.
+   *
+   * @param first whether no other process takes them: then an old list is better than none
+   */
+  public boolean able(boolean first) {
+    net.execute(
+        () -> {
+          boolean patient = !first && clock.now() - made < LIST_PATIENCE;
+          able = decider.ready() && (decider.listed() || !patient);
+        });
+    return able;
+  }
+
+  /**
+   * Takes clients from the inherited listening socket from here on, or none; any thread may call.
+   *
+   * @param done runs on the loop's thread once that holds
+   */
+  public void accept(boolean on, Runnable done) {
+    net.execute(
+        () -> {
+          net.open(on);
+          dispatcher.report(new Happening.Succeeded(!on));
+          if (on) {
+            dispatcher.report(new Happening.Serving());
+          }
+          done.run();
         });
   }
 
--- /dev/null
+++ b/src/test/java/brassbank/handover/SuccessionTest.java
@@ -0,0 +1,101 @@
+package brassbank.handover;
+
+import static brassbank.handover.Succession.Phase.ACCEPTING;
+import static brassbank.handover.Succession.Phase.READY;
+import static brassbank.handover.Succession.Phase.SUCCEEDED;
+import static brassbank.handover.Succession.Phase.WAITING;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+class SuccessionTest {
+  private static final Succession.View ALONE = new Succession.View(false, false);
+  private static final Succession.View BEHIND = new Succession.View(true, false);
+  private static final Succession.View BEFORE = new Succession.View(false, true);
+
+  private final Succession succession = new Succession();
+
+  @Test
+  void acceptsOnceItIsAbleAndNoPredecessorDoes() {
+    assertThat(succession.step(0, BEHIND, false)).isEqualTo(WAITING);
+    assertThat(succession.step(20, BEHIND, true)).isEqualTo(READY);
+    assertThat(succession.step(40, BEHIND, true)).isEqualTo(READY);
+    assertThat(succession.step(60, ALONE, true)).isEqualTo(ACCEPTING);
+    assertThat(succession.step(80, BEFORE, true)).isEqualTo(SUCCEEDED);
+    assertThat(succession.step(100, BEFORE, true)).isEqualTo(SUCCEEDED);
+  }
+
+  @Test
+  void waitsForAPredecessorThatHangsNoLongerThanItsYesAllows() {
+    succession.step(0, BEHIND, true);
+    assertThat(succession.step(Succession.PATIENCE - 1, BEHIND, true)).isEqualTo(READY);
+    assertThat(succession.step(Succession.PATIENCE, BEHIND, true)).isEqualTo(ACCEPTING);
+  }
+
+  @Test
+  void takesTheDoorBackWhenItsSuccessorsHaveDied() {
+    succession.step(0, ALONE, true);
+    succession.step(20, ALONE, true);
+    succession.step(40, BEFORE, true);
+    assertThat(succession.step(60, ALONE, true)).isEqualTo(READY);
+    assertThat(succession.step(80, ALONE, true)).isEqualTo(ACCEPTING);
+  }
+
+  /** Processes start, become able and die at any moment, and look at each other in any order. */
+  @Test
+  void neverTwoAcceptAndWhoeverLivesDoesSoSoon() {
+    for (int seed = 0; seed < 2_000; seed++) {
+      Random random = new Random(seed);
+      List<Succession> all = new ArrayList<>();
+      List<Boolean> alive = new ArrayList<>();
+      List<Boolean> able = new ArrayList<>();
+      int none = 0;
+      for (int step = 0; step < 300; step++) {
+        if (all.size() < 4 && random.nextInt(20) == 0) {
+          all.add(new Succession());
+          alive.add(true);
+          able.add(false);
+        }
+        for (int i = 0; i < all.size(); i++) {
+          int me = i;
+          // The last one to live is left alone: with nobody there, nobody accepts.
+          if (random.nextInt(60) == 0 && alive.stream().filter(a -> a).count() > 1) {
+            alive.set(i, false);
+          }
+          able.set(i, able.get(i) || random.nextInt(10) == 0);
+          if (alive.get(i)) {
+            boolean predecessor =
+                held(all, alive, 0, me).stream().anyMatch(Succession.Phase::accepts);
+            boolean successor =
+                held(all, alive, me + 1, all.size()).stream().anyMatch(Succession.Phase::ready);
+            all.get(i)
+                .step(step * 20_000L, new Succession.View(predecessor, successor), able.get(i));
+          }
+          long accepting =
+              held(all, alive, 0, all.size()).stream().filter(Succession.Phase::accepts).count();
+          assertThat(accepting).as("seed " + seed + " step " + step).isLessThanOrEqualTo(1);
+        }
+        boolean someoneAble =
+            held(all, alive, 0, all.size()).stream().anyMatch(Succession.Phase::ready);
+        boolean someoneAccepts =
+            held(all, alive, 0, all.size()).stream().anyMatch(Succession.Phase::accepts);
+        none = someoneAble && !someoneAccepts ? none + 1 : 0;
+        assertThat(none).as("seed " + seed + " step " + step).isLessThan(6);
+      }
+    }
+  }
+
+  private static List<Succession.Phase> held(
+      List<Succession> all, List<Boolean> alive, int from, int to) {
+    List<Succession.Phase> held = new ArrayList<>();
+    for (int i = from; i < to; i++) {
+      if (alive.get(i)) {
+        held.add(all.get(i).phase());
+      }
+    }
+    return held;
+  }
+}
