Pass on what the old process holds, and check settings whole before any of them is used

Cause: the successor took hosts for full by reports of the load that its own returning clients had been (its log: 0 of 20 set-ups out, 7 to 27 wait; ruled out: set-up limits, rests, StartPace, which had ended). A reload took a deadline of 0 or below, NaN by lenient JSON and a file without half of its keys.

Change: while a successor lives, a process writes its connections to a checked file beside the locks; the successor's module counts them as its own until they are gone. A flow keeps the number of attempts that it came under.

--- a/src/main/java/ashspar/Held.java
+++ b/src/main/java/ashspar/Held.java
@@ -11,6 +11,7 @@
 final class Held {
   final Request request;
   final RequestClass type;
+  final int mostAttempts; // of the settings that it came under
   long deadline;
   int attempts;
 
@@ -34,9 +35,10 @@
   double load;
   final List<Server> tried = new ArrayList<>(2);
 
-  Held(Request request, RequestClass type, long deadline) {
+  Held(Request request, RequestClass type, int mostAttempts, long deadline) {
     this.request = request;
     this.type = type;
+    this.mostAttempts = mostAttempts;
     this.deadline = deadline;
     this.load = request.hint();
   }
--- a/src/main/java/ashspar/Policy.java
+++ b/src/main/java/ashspar/Policy.java
@@ -95,7 +95,8 @@
     Balancer.require(request != null, "a request must be given");
     RequestClass type = node.classes.get(request.requestClass());
     Balancer.require(type != null, "unknown class '" + request.requestClass() + "'");
-    Held h = new Held(request, type, node.now + request.left());
+    int most = node.settings.limits().maxAttempts();
+    Held h = new Held(request, type, most, node.now + request.left());
     Held known = node.requests.putIfAbsent(request.id(), h);
     Balancer.require(known == null, "request " + request.id() + " is known");
     return h;
@@ -110,7 +111,7 @@
     h.awaited = 0;
     long left = h.deadline - node.now - node.settings.tick();
     if (left <= 0
-        || h.attempts >= node.settings.limits().maxAttempts()
+        || h.attempts >= h.mostAttempts
         || (h.attempts > 0 && !node.limits.retries.allows(node.now))
         || node.limits.room.wait(h.request.tenant(), h.type.worth(), node.now) > left) {
       answer(h);
@@ -169,7 +170,7 @@
   private long patience(Held h) {
     long left = h.deadline - node.now;
     long usual = Math.max(ACCEPT_LEAST, (long) (ACCEPT_TIMES * meanAccept));
-    boolean more = h.attempts < node.settings.limits().maxAttempts();
+    boolean more = h.attempts < h.mostAttempts;
     boolean again = more && h.type.effect() == Effect.FREE && left > 2 * usual;
     return again && node.limits.retries.allows(node.now) ? usual : left;
   }
@@ -202,7 +203,7 @@
     if (h.at != null) {
       node.limits.left(node.now, h.at.limits, h.added, h.request.group());
       if (h.established) {
-        node.limits.gone(node.now, h.request.key());
+        node.limits.gone(node.now, h.request.key(), !h.request.midFlow());
       } else {
         node.limits.ended(node.now, h.at.limits, Ending.CALLED_OFF);
         h.at.limits.failed(node.now, Ending.CALLED_OFF);
--- a/src/main/java/ashspar/limits/Limits.java
+++ b/src/main/java/ashspar/limits/Limits.java
@@ -124,11 +124,18 @@
     noRoom.changed(server);
   }
 
-  /** A standing connection of this node has ended; its client may return. */
-  public void gone(long now, String key) {
+  /**
+   * A standing connection of this node has ended; its client may return.
+   *
+   * @param own whether this process has placed it: another's, which it has succeeded, tells nothing
+   *     of how long connections live
+   */
+  public void gone(long now, String key, boolean own) {
     returns.held(key, now);
-    lives.ended(1);
-    pace.giveBack();
+    if (own) {
+      lives.ended(1);
+      pace.giveBack();
+    }
   }
 
   /** A server has broken a standing connection, or sent its client away. */
--- a/src/main/java/brassbank/ServeCommand.java
+++ b/src/main/java/brassbank/ServeCommand.java
@@ -5,6 +5,7 @@
 import brassbank.cli.Exit;
 import brassbank.config.Config;
 import brassbank.config.ConfigException;
+import brassbank.decide.Standing;
 import brassbank.grizzly.GrizzlyNetwork;
 import brassbank.handover.Handover;
 import brassbank.log.Console;
@@ -17,7 +18,9 @@
 import brassbank.sources.SystemClock;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.Callable;
+import java.util.function.Consumer;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
@@ -108,7 +111,7 @@
     try {
       while (true) {
         hangup.await();
-        reload(proxy, own);
+        config = reload(proxy, own, config);
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
@@ -131,6 +134,16 @@
             public void accept(boolean on, Runnable done) {
               proxy.accept(on, done);
             }
+
+            @Override
+            public void holds(Consumer<List<Standing>> told) {
+              proxy.holds(told);
+            }
+
+            @Override
+            public void predecessor(long number, List<Standing> standing) {
+              proxy.predecessor(number, standing);
+            }
           },
           clock);
     } catch (IOException e) {
@@ -145,15 +158,22 @@
     return System.getenv().getOrDefault(FORMAT, "text");
   }
 
-  /** SIGHUP: the file is read here, so that the selector thread never waits for a disk. */
-  private static void reload(Proxy proxy, OwnOptions own) {
+  /**
+   * SIGHUP: the file is read here, so that the selector thread never waits for a disk.
+   *
+   * @return the configuration that holds from here on
+   */
+  private static Config reload(Proxy proxy, OwnOptions own, Config inForce) {
     try {
-      proxy.reload(Config.reread(System.getenv()), own.relay());
+      Config next = Config.reread(System.getenv(), inForce);
+      proxy.reload(next, own.relay());
+      return next;
     } catch (ConfigException e) {
       LOG.warn("reload-refused", value("reason", e.getMessage()));
     } catch (OwnOptions.UnusableException e) {
       e.problems().forEach(problem -> LOG.warn("reload-refused", value("reason", problem)));
     }
+    return inForce;
   }
 
   /** SIGTERM: the runtime waits for this hook, while the selector thread goes on serving. */
--- a/src/main/java/brassbank/config/Config.java
+++ b/src/main/java/brassbank/config/Config.java
@@ -11,7 +11,11 @@
 import com.google.gson.JsonParseException;
 import com.google.gson.JsonParser;
 import com.google.gson.JsonPrimitive;
+import com.google.gson.Strictness;
+import com.google.gson.stream.JsonReader;
+import com.google.gson.stream.JsonToken;
 import java.io.IOException;
+import java.io.StringReader;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -27,6 +31,7 @@
  * @param management where operators call, or null for nowhere
  * @param handover the file by which the processes on an inherited listening socket, descriptor 0,
  *     see each other; null where the proxy listens by itself
+ * @param shape the keys that a configuration which is to replace this one must have
  * @param reportFields the names that a load report's values have on the sockets, in their order
  */
 public record Config(
@@ -41,7 +46,8 @@
     Balancer.Settings settings,
     List<String> reportFields,
     long connectTimeoutMicros,
-    long idleTimeoutMicros) {
+    long idleTimeoutMicros,
+    Shape shape) {
 
   private static final int SOCKETS_DEFAULT = 1024;
 
@@ -53,9 +59,17 @@
   /**
    * Reads the file again. A variable cannot change while the program runs, so that {@code
    * discovery}, which may move, is now taken from the file if it is there.
+   *
+   * @throws ConfigException where the file cannot be used or lacks a key that {@code inForce} has:
+   *     it may be half written, and nothing of it is used
    */
-  public static Config reread(Map<String, String> env) throws ConfigException {
-    return read(env, true);
+  public static Config reread(Map<String, String> env, Config inForce) throws ConfigException {
+    Config next = read(env, true);
+    String missing = inForce.shape.missingIn(next.shape);
+    if (missing != null) {
+      throw new ConfigException("'" + missing + "' is missing, which the settings in force have");
+    }
+    return next;
   }
 
   private static Config read(Map<String, String> env, boolean again) throws ConfigException {
@@ -80,8 +94,16 @@
   private static Config of(Map<String, String> env, String path, String text, boolean again)
       throws ConfigException {
     try {
-      return parse(env, JsonParser.parseString(text).getAsJsonObject(), again);
+      JsonReader reader = new JsonReader(new StringReader(text));
+      // Else an unquoted word passes for text, and NaN for a number.
+      reader.setStrictness(Strictness.STRICT);
+      JsonObject json = JsonParser.parseReader(reader).getAsJsonObject();
+      if (reader.peek() != JsonToken.END_DOCUMENT) {
+        throw new ConfigException("the configuration " + path + " goes on after its end");
+      }
+      return parse(env, json, again);
     } catch (JsonParseException
+        | IOException
         | IllegalStateException
         | UnsupportedOperationException
         | ClassCastException
@@ -100,6 +122,7 @@
     flatten("", json.get("settings"), flat);
     // On sockets no line tells of delay, whatever the settings say of the simulator's wire.
     flat.put("extra.tells-delay", "false");
+    Shape shape = Shape.of(json);
     Balancer.Settings settings = SettingsReader.read(flat);
     TargetList known =
         json.has("known") && json.get("known").isJsonObject()
@@ -124,7 +147,8 @@
         settings,
         fields(flat),
         micros(flat, "allowed.dial-timeout", 200_000),
-        micros(flat, "allowed.keepalive", 5_000_000));
+        micros(flat, "allowed.keepalive", 5_000_000),
+        shape);
   }
 
   private static String value(Map<String, String> env, String variable, JsonObject json, String key)
--- a/src/main/java/brassbank/decide/Decider.java
+++ b/src/main/java/brassbank/decide/Decider.java
@@ -55,19 +55,27 @@
     final Flow flow;
     final Balancer.Request request;
     final long deadline;
+
+    /** The settings that it came under, which hold for it to its end. */
+    final Balancer.Settings settings;
+
     Stage stage = Stage.HELD;
     int forwards;
     Target target;
     long sentAt;
     long askedAt;
 
+    /** As the target told it last. */
+    double load = Double.NaN;
+
     /** An alarm looks after the question that is open, or one before it. */
     boolean watched;
 
-    Entry(Flow flow, Balancer.Request request, long deadline) {
+    Entry(Flow flow, Balancer.Request request, long deadline, Balancer.Settings settings) {
       this.flow = flow;
       this.request = request;
       this.deadline = deadline;
+      this.settings = settings;
     }
 
     /** The module's number of the last forward; a resumed connection is 0, however often tried. */
@@ -101,6 +109,10 @@
   private final Balancer module;
   private final Map<Long, Entry> ledger = new LinkedHashMap<>();
   private final Map<String, Target> group = new HashMap<>();
+
+  /** What each predecessor of this process holds, by its flows' ids. */
+  private final Map<Long, Map<Long, Standing>> shadows = new HashMap<>();
+
   private final Map<String, Delay> delays = new HashMap<>();
   private final PriorityQueue<Alarm> alarms =
       new PriorityQueue<>(
@@ -160,7 +172,7 @@
             flow.retry(),
             false,
             flow.returning());
-    Entry entry = new Entry(flow, request, now + request.left());
+    Entry entry = new Entry(flow, request, now + request.left(), settings);
     ledger.put(flow.id(), entry);
     alarm(entry.deadline + settings.rules().answerSlack(), AlarmKind.ANSWER_DUE, flow.id(), 0);
     if (flow.at() != null) {
@@ -182,6 +194,7 @@
     } else if (happening instanceof Happening.Load load) {
       Entry entry = standing(load.flow());
       if (entry != null) {
+        entry.load = load.load();
         note(entry, Balancer.NoteKind.LOAD, load.load());
       }
     } else if (happening instanceof Happening.Asked asked) {
@@ -209,6 +222,8 @@
       leave(lifecycle.on(Event.STANDBY, now));
     } else if (happening instanceof Happening.ActiveAsked) {
       lifecycle.on(Event.ACTIVE, now);
+    } else if (happening instanceof Happening.Predecessor predecessor) {
+      elsewhere(predecessor.process(), predecessor.standing());
     } else if (happening instanceof Happening.Succeeded succeeded) {
       lifecycle.succeeded(succeeded.yes());
     } else if (happening instanceof Happening.Serving) {
@@ -392,7 +407,7 @@
     boolean again =
         ending == Ending.CONNECT_FAILED
             && now + REJOIN_PAUSE < entry.deadline
-            && entry.forwards < settings.limits().maxAttempts();
+            && entry.forwards < entry.settings.limits().maxAttempts();
     if (again) {
       alarm(now + REJOIN_PAUSE, AlarmKind.REJOIN, entry.flow.id(), 0);
     } else {
@@ -517,6 +532,89 @@
         : 0;
   }
 
+  // ------------------------------------- connections that a predecessor holds
+
+  /**
+   * Tells the module of the connections that a predecessor holds as if they were this process's
+   * own. Budgets are then not doubled, and the room that a moved client leaves is known before the
+   * next report shows it.
+   */
+  private void elsewhere(long process, List<Standing> standing) {
+    Map<Long, Standing> before = shadows.computeIfAbsent(process, p -> new LinkedHashMap<>());
+    Map<Long, Standing> next = new LinkedHashMap<>();
+    standing.forEach(one -> next.put(one.id(), one));
+    for (Standing gone : before.values()) {
+      if (!next.containsKey(gone.id())) {
+        module.outcome(
+            now,
+            new Balancer.Outcome(
+                shadow(process, gone), 0, gone.target(), Ending.SERVED.status, 0, true, List.of()));
+      }
+    }
+    before.keySet().retainAll(next.keySet());
+    for (Standing one : standing) {
+      // A class that these settings do not know is none that the module could count.
+      if (settings.classes().stream().noneMatch(c -> c.name().equals(one.flowClass()))) {
+        continue;
+      }
+      long id = shadow(process, one);
+      Standing known = before.put(one.id(), one);
+      if (known == null) {
+        module.resumed(
+            now,
+            new Balancer.Request(
+                id,
+                one.key(),
+                one.group(),
+                one.flowClass(),
+                one.tenant(),
+                0,
+                one.hint(),
+                false,
+                true,
+                false),
+            one.target());
+      }
+      if (one.load() >= 0 && (known == null || known.load() != one.load())) {
+        module.note(now, id, 0, one.target(), Balancer.NoteKind.LOAD, one.load());
+      }
+    }
+    if (before.isEmpty()) {
+      shadows.remove(process);
+    }
+  }
+
+  /** An id that no flow of this process's own has. */
+  private static long shadow(long process, Standing one) {
+    return (process << 40) + one.id();
+  }
+
+  /** How many connections of predecessors the module is told of. */
+  int counted() {
+    return shadows.values().stream().mapToInt(Map::size).sum();
+  }
+
+  /** The connections that stand here. */
+  public List<Standing> standing() {
+    List<Standing> standing = new ArrayList<>();
+    for (Entry entry : ledger.values()) {
+      if (entry.stage == Stage.UP) {
+        Flow flow = entry.flow;
+        standing.add(
+            new Standing(
+                flow.id(),
+                flow.key(),
+                flow.flowClass(),
+                flow.tenant(),
+                flow.group(),
+                flow.hint(),
+                entry.target.name(),
+                entry.load));
+      }
+    }
+    return standing;
+  }
+
   // ---------------------------------------------------------------- departure
 
   private void leave(boolean begun) {
--- a/src/main/java/brassbank/decide/Happening.java
+++ b/src/main/java/brassbank/decide/Happening.java
@@ -52,6 +52,12 @@
   /** Another process takes the clients from here on, or this one does again. */
   record Succeeded(boolean yes) implements Happening {}
 
+  /**
+   * What a predecessor of this process holds now: the module counts it as this one's own, so that
+   * its clients are known when they come. The process's number keeps its flows' ids apart.
+   */
+  record Predecessor(long process, List<Standing> standing) implements Happening {}
+
   /** The proxy is to stop by then (the facade's clock). */
   record Stopping(long by) implements Happening {}
 }
--- a/src/main/java/brassbank/handover/Handover.java
+++ b/src/main/java/brassbank/handover/Handover.java
@@ -2,12 +2,16 @@
 
 import static brassbank.log.Field.value;
 
+import brassbank.decide.Standing;
 import brassbank.log.Log;
 import brassbank.sources.Clock;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
 
 /**
  * Looks at the locks on a thread of its own, so that no file keeps the loop waiting, and has the
@@ -23,6 +27,9 @@
   /** How long a busy loop may take to turn the listener off, before the others go on. */
   private static final long DOOR_MILLIS = 2_000;
 
+  /** A predecessor that does not tell what it holds by then is older, or hangs. */
+  private static final long IMAGE_PATIENCE = 1_000_000;
+
   private static final int NUMBERING_TRIES = 100;
 
   /** The process, as its hand-over sees it. Called on the hand-over's thread. */
@@ -40,17 +47,32 @@
      * @param done runs once that holds, on any thread
      */
     void accept(boolean on, Runnable done);
+
+    /** Has what the process holds told, on any thread. */
+    void holds(Consumer<List<Standing>> told);
+
+    /** What a predecessor with this number holds now; nothing once it is gone. */
+    void predecessor(long number, List<Standing> standing);
   }
 
   private final Process process;
   private final Clock clock;
   private final Locks locks;
+  private final Images images;
+  private final AtomicReference<List<Standing>> held = new AtomicReference<>();
+  private final long began;
   private final Succession succession = new Succession();
 
-  private Handover(Process process, Clock clock, Locks locks) {
+  private Handover(Process process, Clock clock, Locks locks, Images images) {
     this.process = process;
     this.clock = clock;
     this.locks = locks;
+    this.images = images;
+    began = now();
+  }
+
+  private long now() {
+    return TimeUnit.NANOSECONDS.toMicros(clock.nanos());
   }
 
   /**
@@ -62,8 +84,11 @@
    */
   public static void begin(Path file, Process process, Clock clock)
       throws IOException, InterruptedException {
-    Handover handover = new Handover(process, clock, open(file));
-    LOG.info("numbered", value("number", handover.locks.number()));
+    Locks locks = open(file);
+    Images images = new Images(file, locks.number());
+    images.clean(locks.predecessors());
+    Handover handover = new Handover(process, clock, locks, images);
+    LOG.info("numbered", value("number", locks.number()));
     Thread thread = new Thread(handover::run, "handover");
     thread.setDaemon(true);
     thread.start();
@@ -100,9 +125,10 @@
 
   private void step() throws IOException, InterruptedException {
     Succession.Phase before = succession.phase();
-    long now = TimeUnit.NANOSECONDS.toMicros(clock.nanos());
+    long now = now();
     Succession.View view = locks.view();
-    boolean able = before.ready() || process.able(!view.predecessorAccepts());
+    boolean told = pass(now);
+    boolean able = before.ready() || (told && process.able(!view.predecessorAccepts()));
     Succession.Phase phase = succession.step(now, view, able);
     if (before.accepts() && !phase.accepts()) {
       door(false);
@@ -118,6 +144,32 @@
     }
   }
 
+  /**
+   * Tells successors what this process holds, and the process what its predecessors do.
+   *
+   * @return whether it knows that of all of them, or has waited long enough for it
+   */
+  private boolean pass(long now) throws IOException {
+    if (locks.succeeded()) {
+      process.holds(held::set);
+      List<Standing> standing = held.get();
+      if (standing != null) {
+        images.write(standing);
+      }
+    }
+    List<Long> alive = locks.predecessors();
+    for (long predecessor : alive) {
+      List<Standing> standing = images.read(predecessor);
+      if (standing != null) {
+        process.predecessor(predecessor, standing);
+      }
+    }
+    for (long dead : images.gone(alive)) {
+      process.predecessor(dead, List.of());
+    }
+    return now - began >= IMAGE_PATIENCE || alive.stream().allMatch(images::knows);
+  }
+
   private void door(boolean on) throws InterruptedException {
     CountDownLatch done = new CountDownLatch(1);
     process.accept(on, done::countDown);
--- a/src/main/java/brassbank/handover/Locks.java
+++ b/src/main/java/brassbank/handover/Locks.java
@@ -7,6 +7,8 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
 
 /**
  * The file by which the processes of one proxy see each other: locks on its bytes, which the kernel
@@ -23,6 +25,12 @@
   /** Byte {@code READY + n} is held by process n once it could serve. */
   private static final long READY = 1L << 20;
 
+  /** Byte {@code ALIVE + n} is held by process n as long as it lives. */
+  private static final long ALIVE = 1L << 50;
+
+  /** So many predecessors are looked for at most: more than end their clients' time together. */
+  private static final int MOST_PREDECESSORS = 8;
+
   /** Byte {@code ACCEPTING + n} is held by process n while it accepts. */
   private static final long ACCEPTING = 1L << 40;
 
@@ -60,6 +68,10 @@
     long number = last.matches("\\d{1,9}") ? Long.parseLong(last) % (MOST_NUMBER - 1) + 1 : 1;
     file.truncate(0);
     file.write(ByteBuffer.wrap(Long.toString(number).getBytes(StandardCharsets.US_ASCII)), 0);
+    if (file.tryLock(ALIVE + number, 1, false) == null) {
+      file.close();
+      throw new IOException(path + " is being looked at by another process");
+    }
     numbering.release();
     return new Locks(file, number);
   }
@@ -75,6 +87,22 @@
         held(ACCEPTING, ACCEPTING + number), held(READY + number + 1, READY + MOST_NUMBER));
   }
 
+  /** The processes with lower numbers that live, the last first. */
+  List<Long> predecessors() throws IOException {
+    List<Long> alive = new ArrayList<>();
+    for (long other = number - 1; other >= 1 && other >= number - MOST_PREDECESSORS; other--) {
+      if (held(ALIVE + other, ALIVE + other + 1)) {
+        alive.add(other);
+      }
+    }
+    return alive;
+  }
+
+  /** Whether a process with a higher number lives. */
+  boolean succeeded() throws IOException {
+    return held(ALIVE + number + 1, ALIVE + MOST_NUMBER);
+  }
+
   /** Whether another process holds a lock on one of these bytes. */
   private boolean held(long from, long to) throws IOException {
     FileLock probe = file.tryLock(from, to - from, true);
--- a/src/main/java/brassbank/proxy/Proxy.java
+++ b/src/main/java/brassbank/proxy/Proxy.java
@@ -7,6 +7,7 @@
 import brassbank.decide.Decider;
 import brassbank.decide.FlowClock;
 import brassbank.decide.Happening;
+import brassbank.decide.Standing;
 import brassbank.discovery.Discovery;
 import brassbank.forward.Dispatcher;
 import brassbank.front.Front;
@@ -18,8 +19,10 @@
 import brassbank.relay.limits.RelayLimits;
 import brassbank.sources.Randomness;
 import java.io.IOException;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /**
  * The parts of one proxy, wired together on the network it is given: one object is what a process
@@ -146,6 +149,16 @@
         });
   }
 
+  /** Has the connections told that stand here, on the loop's thread; any thread may call. */
+  public void holds(Consumer<List<Standing>> told) {
+    net.execute(() -> told.accept(decider.standing()));
+  }
+
+  /** What a predecessor with this number holds now; any thread may call. */
+  public void predecessor(long number, List<Standing> standing) {
+    net.execute(() -> dispatcher.report(new Happening.Predecessor(number, standing)));
+  }
+
   /**
    * Applies what can change while the proxy serves. Standing connections and open flows go on; the
    * name, the address clients come to, the seed and the memory hold until a restart.
--- a/src/test/java/ashspar/limits/LimitsTest.java
+++ b/src/test/java/ashspar/limits/LimitsTest.java
@@ -402,7 +402,7 @@
       assertThat(limits.open(now)).isTrue();
       limits.sent(now, server, false);
       limits.answered(now, server, MS);
-      limits.gone(now, "key");
+      limits.gone(now, "key", true);
     }
     int sent = 0;
     for (; limits.open(SECOND); sent++) {
--- a/src/test/java/brassbank/ArchitectureTest.java
+++ b/src/test/java/brassbank/ArchitectureTest.java
@@ -216,7 +216,8 @@
         .check(program);
     onlyKnows("brassbank.lifecycle").check(program);
     isPure("brassbank.lifecycle").check(program);
-    onlyKnows("brassbank.handover", "brassbank.log", "brassbank.sources").check(program);
+    onlyKnows("brassbank.handover", "brassbank.decide", "brassbank.log", "brassbank.sources")
+        .check(program);
     onlyKnows("brassbank.management", "brassbank.net", "brassbank.log").check(program);
     onlyKnows(
             "brassbank.decide",
--- a/src/test/java/brassbank/OperatorsTest.java
+++ b/src/test/java/brassbank/OperatorsTest.java
@@ -62,6 +62,9 @@
       assertThat(client.line()).isNull();
     }
     assertThat(millisSince(start)).isBetween(2_000L, 3_700L);
+    for (int i = 0; !site.state().equals("standby flows=0"); i++) {
+      assertThat(i).as("looks at a proxy that holds nobody").isLessThan(500);
+    }
     assertThat(site.client("d=4000").line()).as("in standby").startsWith("BUSY");
 
     assertThat(site.call("PUT /active")).isEqualTo(YES);
--- a/src/test/java/brassbank/Site.java
+++ b/src/test/java/brassbank/Site.java
@@ -232,6 +232,17 @@
     return first;
   }
 
+  /** What the proxy says it is: the last line of its status. */
+  String state() throws IOException {
+    try (Peer operator = Peer.to(management).send("GET /status HTTP/1.1\r\nHost: x\r\n\r\n")) {
+      String last = "";
+      for (String line = operator.line(); line != null; line = operator.line()) {
+        last = line;
+      }
+      return last;
+    }
+  }
+
   /** Waits until the operators' door says that this process takes clients. */
   void serving() throws IOException, InterruptedException {
     long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Peer.LIMIT_MILLIS);
--- a/src/test/java/brassbank/decide/DeciderTest.java
+++ b/src/test/java/brassbank/decide/DeciderTest.java
@@ -80,6 +80,77 @@
     assertThat(decider.limits().placesTaken()).isZero();
   }
 
+  /** Fewer attempts, and a class that is gone, hold for what comes after the reload. */
+  @Test
+  void aFlowKeepsTheSettingsThatItCameUnder() {
+    placed(flow(1, 4_000_000, null));
+    Balancer.Settings old = config.settings();
+    Balancer.Limits limits = old.limits();
+    Balancer.Limits fewer =
+        new Balancer.Limits(
+            limits.probes(),
+            limits.peers(),
+            limits.cancel(),
+            limits.secondCopies(),
+            limits.retryAfter(),
+            1,
+            limits.maxRetryAfter());
+    decider.report(new Happening.Configured(with(old, fewer, old.classes().subList(1, 2))));
+    Flow dropped = flow(2, 4_000_000, null);
+    assertThat(decider.pick(dropped)).containsExactly(new Decision.Fail(2));
+    List<Decision> next = new ArrayList<>(decider.report(new Happening.Ended(1, Ending.BUSY)));
+    next.addAll(tickAfter(200_000));
+    assertThat(only(Decision.Forward.class, next)).as("a second attempt").hasSize(1);
+
+    Flow later = new Flow(3, "key", "presentation", null, null, 2_900_000, 0, false, false, null);
+    List<Decision> decided = placed(later);
+    assertThat(only(Decision.Forward.class, decided)).hasSize(1);
+    decided = new ArrayList<>(decider.report(new Happening.Ended(3, Ending.BUSY)));
+    decided.addAll(tickAfter(200_000));
+    assertThat(only(Decision.FixedResponse.class, decided)).as("the only attempt").hasSize(1);
+  }
+
+  /** Else its module would take the hosts for fuller than they are, and both fill the same ones. */
+  @Test
+  void whatAPredecessorHoldsIsCountedUntilItIsGone() {
+    placed(flow(1, 500_000, null));
+    decider.report(new Happening.Up(1));
+    decider.report(new Happening.Load(1, 2_000));
+    List<Standing> held = decider.standing();
+    assertThat(held).hasSize(1);
+    Decider successor = new Decider(config.settings(), 2, config.known(), clock);
+    Standing foreign = new Standing(9, "key", "no-such", null, null, 0, "s-1", 1);
+    successor.report(new Happening.Predecessor(3, List.of(held.get(0), foreign)));
+    assertThat(successor.open()).as("they are not its own").isZero();
+    assertThat(successor.standing()).isEmpty();
+    assertThat(successor.counted()).isEqualTo(1);
+    successor.report(new Happening.Predecessor(3, held));
+    assertThat(successor.counted()).as("told twice").isEqualTo(1);
+    successor.report(new Happening.Predecessor(3, List.of()));
+    assertThat(successor.counted()).isZero();
+  }
+
+  private static Balancer.Settings with(
+      Balancer.Settings old, Balancer.Limits limits, List<Balancer.RequestClass> classes) {
+    return new Balancer.Settings(
+        old.rank(),
+        old.nodes(),
+        old.zone(),
+        old.zones(),
+        classes,
+        old.tenants(),
+        limits,
+        old.rules(),
+        old.prices(),
+        old.reportFields(),
+        old.sizes(),
+        old.asks(),
+        old.passThrough(),
+        old.overShareWorth(),
+        old.tick(),
+        old.tellsDelay());
+  }
+
   @Test
   void failsAFlowOfAClassThatNobodyKnows() {
     Flow unknown = new Flow(1, "key", "no-such", null, null, 1000, 0, false, false, null);
--- /dev/null
+++ b/src/test/java/brassbank/handover/ImageTest.java
@@ -0,0 +1,53 @@
+package brassbank.handover;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import brassbank.decide.Standing;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class ImageTest {
+  private static final List<Standing> STANDING =
+      List.of(
+          new Standing(7, "key-1", "preview", "kelvin-stone", "g=1", 0.5, "s-1", 1.25e-3),
+          new Standing(8, "key-2", "presentation", null, null, 0, "s-2", Double.NaN));
+
+  private final byte[] bytes = Image.of(STANDING);
+
+  @Test
+  void whatIsWrittenIsRead() {
+    assertThat(Image.read(bytes)).isEqualTo(STANDING);
+    assertThat(Image.read(Image.of(List.of()))).isEmpty();
+  }
+
+  @Test
+  void nothingIsReadOfWhatWasCutOrDamagedAnywhere() {
+    for (int at = 0; at < bytes.length; at++) {
+      byte[] cut = Arrays.copyOf(bytes, at);
+      assertThatThrownBy(() -> Image.read(cut))
+          .as("cut at " + at)
+          .isInstanceOf(IllegalArgumentException.class);
+      byte[] damaged = bytes.clone();
+      damaged[at] ^= 4;
+      assertThatThrownBy(() -> Image.read(damaged))
+          .as("damaged at " + at)
+          .isInstanceOf(IllegalArgumentException.class);
+    }
+  }
+
+  @Test
+  void aNewerProgramMayTellMoreAndAnotherVersionIsNotRead() {
+    String body = "7\tkey-1\tpreview\tkelvin-stone\tg=1\t0.5\ts-1\t0.00125\tnews\n";
+    java.util.zip.CRC32 sum = new java.util.zip.CRC32();
+    sum.update(body.getBytes(StandardCharsets.ISO_8859_1));
+    String rest = body.length() + " " + Long.toHexString(sum.getValue()) + "\n" + body;
+    assertThat(Image.read(("brassbank-image 1 " + rest).getBytes(StandardCharsets.ISO_8859_1)))
+        .containsExactly(STANDING.get(0));
+    assertThatThrownBy(
+            () -> Image.read(("brassbank-image 2 " + rest).getBytes(StandardCharsets.ISO_8859_1)))
+        .hasMessage("not of this version");
+  }
+}
