Share one limit on descriptors in an upgrade, and let a moved client's room be seen at once

Cause: two processes each took the whole limit on descriptors. And the successor's returning clients waited for seconds: a trace of the loads showed hosts taken for full by connections that had left, since those that stood before the first report were taken to add 0; ruled out by it: the start's pace, set-up limits, rests, retries.

Limits.left takes off what a connection adds now where nothing was known when it came.

--- a/src/main/java/ashspar/limits/Limits.java
+++ b/src/main/java/ashspar/limits/Limits.java
@@ -237,12 +237,19 @@
     return Math.min(ALIKE, nodes);
   }
 
-  /** What has {@link #joined} a server is gone from there, with what it added. */
+  /**
+   * What has {@link #joined} a server is gone from there, with what it added. A connection that
+   * stood before anything was measured, as those of a predecessor do, was taken to add nothing: it
+   * leaves what one adds now. Without this their clients, once moved, waited for seconds before
+   * hosts that their own load seemed to fill.
+   */
   public void left(long now, ServerLimits server, double added, String group) {
-    if (server.groups.isLone(group)) {
+    boolean lone = server.groups.isLone(group);
+    double leaves = added != 0 ? added : estimate.adds(1, lone, 1, server.sizeNow(), meanSize);
+    if (lone) {
       holders.computeIfPresent(group, (g, servers) -> servers > 1 ? servers - 1 : null);
     }
-    server.left(now, added, group);
+    server.left(now, leaves, group);
     elsewhere.add(now, -1);
   }
 
--- a/src/main/java/brassbank/ServeCommand.java
+++ b/src/main/java/brassbank/ServeCommand.java
@@ -5,9 +5,9 @@
 import brassbank.cli.Exit;
 import brassbank.config.Config;
 import brassbank.config.ConfigException;
-import brassbank.decide.Standing;
 import brassbank.grizzly.GrizzlyNetwork;
 import brassbank.handover.Handover;
+import brassbank.handover.Holding;
 import brassbank.log.Console;
 import brassbank.log.Format;
 import brassbank.log.Log;
@@ -18,7 +18,6 @@
 import brassbank.sources.SystemClock;
 import java.io.IOException;
 import java.nio.file.Path;
-import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.function.Consumer;
 import picocli.CommandLine.Command;
@@ -136,13 +135,13 @@
             }
 
             @Override
-            public void holds(Consumer<List<Standing>> told) {
+            public void holds(Consumer<Holding> told) {
               proxy.holds(told);
             }
 
             @Override
-            public void predecessor(long number, List<Standing> standing) {
-              proxy.predecessor(number, standing);
+            public void predecessor(long number, Holding holding) {
+              proxy.predecessor(number, holding);
             }
           },
           clock);
--- a/src/main/java/brassbank/forward/Dispatcher.java
+++ b/src/main/java/brassbank/forward/Dispatcher.java
@@ -100,6 +100,11 @@
     return decider.leaving();
   }
 
+  /** How many flows will need a target's descriptor, and do not hold it yet. */
+  public int waiting() {
+    return waiting;
+  }
+
   /** A front's new flow; the client is told its answer. */
   public void submit(Flow flow, Client client) {
     if (net.full(waiting)) {
--- a/src/main/java/brassbank/handover/Handover.java
+++ b/src/main/java/brassbank/handover/Handover.java
@@ -2,7 +2,6 @@
 
 import static brassbank.log.Field.value;
 
-import brassbank.decide.Standing;
 import brassbank.log.Log;
 import brassbank.sources.Clock;
 import java.io.IOException;
@@ -49,17 +48,17 @@
     void accept(boolean on, Runnable done);
 
     /** Has what the process holds told, on any thread. */
-    void holds(Consumer<List<Standing>> told);
+    void holds(Consumer<Holding> told);
 
     /** What a predecessor with this number holds now; nothing once it is gone. */
-    void predecessor(long number, List<Standing> standing);
+    void predecessor(long number, Holding holding);
   }
 
   private final Process process;
   private final Clock clock;
   private final Locks locks;
   private final Images images;
-  private final AtomicReference<List<Standing>> held = new AtomicReference<>();
+  private final AtomicReference<Holding> held = new AtomicReference<>();
   private final long began;
   private final Succession succession = new Succession();
 
@@ -152,20 +151,20 @@
   private boolean pass(long now) throws IOException {
     if (locks.succeeded()) {
       process.holds(held::set);
-      List<Standing> standing = held.get();
-      if (standing != null) {
-        images.write(standing);
+      Holding holding = held.get();
+      if (holding != null) {
+        images.write(holding);
       }
     }
     List<Long> alive = locks.predecessors();
     for (long predecessor : alive) {
-      List<Standing> standing = images.read(predecessor);
-      if (standing != null) {
-        process.predecessor(predecessor, standing);
+      Holding holding = images.read(predecessor);
+      if (holding != null) {
+        process.predecessor(predecessor, holding);
       }
     }
     for (long dead : images.gone(alive)) {
-      process.predecessor(dead, List.of());
+      process.predecessor(dead, Holding.NOTHING);
     }
     return now - began >= IMAGE_PATIENCE || alive.stream().allMatch(images::knows);
   }
--- a/src/main/java/brassbank/handover/Image.java
+++ b/src/main/java/brassbank/handover/Image.java
@@ -8,9 +8,9 @@
 
 /**
  * The form in which a process tells its successor what it holds: one line of text for each
- * connection, after a first one with the form's version, the number of lines and a checksum of
- * them. A line of a newer program may have more fields at its end, which are passed over; a form of
- * another version is not read. No I/O.
+ * connection, after one with the form's version, the length of what follows and a checksum of it,
+ * and one with the number of descriptors. A line of a newer program may have more fields at its
+ * end, which are passed over; a form of another version is not read. No I/O.
  */
 final class Image {
   /** A bound for the successor's memory; more connections than that no process has descriptors. */
@@ -23,8 +23,10 @@
 
   private Image() {}
 
-  static byte[] of(List<Standing> standing) {
+  static byte[] of(Holding holding) {
     StringBuilder body = new StringBuilder();
+    List<Standing> standing = holding.standing();
+    body.append(holding.descriptors()).append('\n');
     for (Standing one : standing.subList(0, Math.min(standing.size(), MOST_CONNECTIONS))) {
       body.append(one.id()).append('\t');
       body.append(one.key()).append('\t');
@@ -51,7 +53,7 @@
   }
 
   /** What such bytes say; throws IllegalArgumentException where they are damaged or foreign. */
-  static List<Standing> read(byte[] bytes) {
+  static Holding read(byte[] bytes) {
     int end = 0;
     while (end < bytes.length && bytes[end] != '\n') {
       end++;
@@ -68,7 +70,12 @@
     }
     String body = new String(bytes, from, bytes.length - from, StandardCharsets.ISO_8859_1);
     List<Standing> standing = new ArrayList<>();
-    for (String line : body.lines().toList()) {
+    List<String> lines = body.lines().toList();
+    if (lines.isEmpty()) {
+      throw new IllegalArgumentException("no number of descriptors");
+    }
+    int descriptors = Integer.parseInt(lines.get(0).split("\t", -1)[0]);
+    for (String line : lines.subList(1, lines.size())) {
       String[] fields = line.split("\t", -1);
       if (fields.length < FIELDS || standing.size() == MOST_CONNECTIONS) {
         throw new IllegalArgumentException(
@@ -85,6 +92,6 @@
               fields[6],
               Double.parseDouble(fields[7])));
     }
-    return standing;
+    return new Holding(descriptors, standing);
   }
 }
--- a/src/main/java/brassbank/handover/Images.java
+++ b/src/main/java/brassbank/handover/Images.java
@@ -2,7 +2,6 @@
 
 import static brassbank.log.Field.value;
 
-import brassbank.decide.Standing;
 import brassbank.log.Log;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -25,7 +24,7 @@
 
   private final Path locks;
   private final long number;
-  private List<Standing> written;
+  private Holding written;
 
   /** What was read last of each predecessor's. */
   private final Map<Long, byte[]> seen = new HashMap<>();
@@ -40,14 +39,14 @@
   }
 
   /** Writes what this process holds, where that has changed. */
-  void write(List<Standing> standing) throws IOException {
-    if (standing.equals(written)) {
+  void write(Holding holding) throws IOException {
+    if (holding.equals(written)) {
       return;
     }
     Path part = file(number).resolveSibling(file(number).getFileName() + ".part");
-    Files.write(part, Image.of(standing));
+    Files.write(part, Image.of(holding));
     Files.move(part, file(number), StandardCopyOption.ATOMIC_MOVE);
-    written = standing;
+    written = holding;
   }
 
   /**
@@ -55,7 +54,7 @@
    *
    * @return null where there is nothing new, or nothing that can be read
    */
-  List<Standing> read(long predecessor) throws IOException {
+  Holding read(long predecessor) throws IOException {
     byte[] bytes;
     try {
       if (Files.size(file(predecessor)) > Image.MOST_BYTES) {
--- a/src/main/java/brassbank/net/Net.java
+++ b/src/main/java/brassbank/net/Net.java
@@ -148,6 +148,18 @@
     admit();
   }
 
+  /**
+   * How many descriptors the process needs for what it has: no flow of it is refused under this
+   * limit, and new ones would be soon.
+   *
+   * @param promised descriptors that are promised and not held yet
+   */
+  public int needs(int promised) {
+    int room = used() + promised + LEAST;
+    // The last eighth is for refusals, see full().
+    return runtime + RESERVE + places + room + room / 7 + 1;
+  }
+
   /** The memory of all links. */
   public Buffers buffers() {
     return buffers;
--- a/src/main/java/brassbank/proxy/Proxy.java
+++ b/src/main/java/brassbank/proxy/Proxy.java
@@ -7,10 +7,11 @@
 import brassbank.decide.Decider;
 import brassbank.decide.FlowClock;
 import brassbank.decide.Happening;
-import brassbank.decide.Standing;
 import brassbank.discovery.Discovery;
 import brassbank.forward.Dispatcher;
 import brassbank.front.Front;
+import brassbank.handover.DescriptorShare;
+import brassbank.handover.Holding;
 import brassbank.log.Log;
 import brassbank.management.Management;
 import brassbank.net.Net;
@@ -19,7 +20,6 @@
 import brassbank.relay.limits.RelayLimits;
 import brassbank.sources.Randomness;
 import java.io.IOException;
-import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -58,6 +58,7 @@
   private final FlowClock clock;
   private final long made;
   private volatile boolean able;
+  private final DescriptorShare share;
   private final Net net;
   private final Relay relay;
   private final Decider decider;
@@ -73,7 +74,8 @@
     this.config = config;
     clock = new FlowClock(network.clock());
     made = clock.now();
-    net = new Net(config.sockets(), network);
+    share = new DescriptorShare(config.sockets(), config.handover() != null);
+    net = new Net(share.limit(), network);
     relay = new Relay(net, limits);
     decider = new Decider(config.settings(), config.seed(), config.known(), clock);
     dispatcher =
@@ -140,6 +142,8 @@
   public void accept(boolean on, Runnable done) {
     net.execute(
         () -> {
+          share.needs(on, net.needs(dispatcher.waiting()));
+          net.limit(share.limit());
           net.open(on);
           dispatcher.report(new Happening.Succeeded(!on));
           if (on) {
@@ -149,14 +153,24 @@
         });
   }
 
-  /** Has the connections told that stand here, on the loop's thread; any thread may call. */
-  public void holds(Consumer<List<Standing>> told) {
-    net.execute(() -> told.accept(decider.standing()));
+  /** Has told what this process holds, on the loop's thread; any thread may call. */
+  public void holds(Consumer<Holding> told) {
+    net.execute(
+        () -> {
+          share.needs(net.isOpen(), net.needs(dispatcher.waiting()));
+          net.limit(share.limit());
+          told.accept(new Holding(share.limit(), decider.standing()));
+        });
   }
 
   /** What a predecessor with this number holds now; any thread may call. */
-  public void predecessor(long number, List<Standing> standing) {
-    net.execute(() -> dispatcher.report(new Happening.Predecessor(number, standing)));
+  public void predecessor(long number, Holding holding) {
+    net.execute(
+        () -> {
+          share.predecessor(number, holding.descriptors());
+          net.limit(share.limit());
+          dispatcher.report(new Happening.Predecessor(number, holding.standing()));
+        });
   }
 
   /**
@@ -171,7 +185,8 @@
   public void reload(Config next, RelayLimits limits) {
     net.execute(
         () -> {
-          net.limit(next.sockets());
+          share.sockets(next.sockets());
+          net.limit(share.limit());
           relay.configure(limits);
           dispatcher.settings(
               next.settings(),
--- a/src/test/java/ashspar/limits/LimitsTest.java
+++ b/src/test/java/ashspar/limits/LimitsTest.java
@@ -411,6 +411,26 @@
     assertThat(sent).as("those that stand are held").isBetween(1, 4);
   }
 
+  /** A predecessor's connections are told before any report: moved, they left no room behind. */
+  @Example
+  void whatStoodBeforeAnythingWasMeasuredLeavesRoomWhenItEnds() {
+    Limits<String> limits = new Limits<>(0);
+    ServerLimits server = limits.join("s");
+    server.started(false, 4);
+    limits.ready(server, true);
+    double[] added = new double[10];
+    for (int i = 0; i < added.length; i++) {
+      added[i] = limits.joined(0, server, 1, "g" + i, true);
+      assertThat(added[i]).as("nothing is known yet").isZero();
+    }
+    limits.measure(SECOND, 0.7, added.length, 1);
+    server.reported(SECOND, 0.7, 0);
+    for (int i = 0; i < added.length; i++) {
+      limits.left(2 * SECOND, server, added[i], "g" + i);
+    }
+    assertThat(server.load(2 * SECOND)).isLessThan(0.3);
+  }
+
   /** One connection of one of fourteen nodes read as fourteen at its server, and none elsewhere. */
   @Example
   void whatManyOtherNodesPlaceMeanwhileIsSpreadOverAllServers() {
--- a/src/test/java/brassbank/handover/ImageTest.java
+++ b/src/test/java/brassbank/handover/ImageTest.java
@@ -15,12 +15,13 @@
           new Standing(7, "key-1", "preview", "kelvin-stone", "g=1", 0.5, "s-1", 1.25e-3),
           new Standing(8, "key-2", "presentation", null, null, 0, "s-2", Double.NaN));
 
-  private final byte[] bytes = Image.of(STANDING);
+  private final byte[] bytes = Image.of(new Holding(200, STANDING));
 
   @Test
   void whatIsWrittenIsRead() {
-    assertThat(Image.read(bytes)).isEqualTo(STANDING);
-    assertThat(Image.read(Image.of(List.of()))).isEmpty();
+    assertThat(Image.read(bytes)).isEqualTo(new Holding(200, STANDING));
+    Holding none = new Holding(60, List.of());
+    assertThat(Image.read(Image.of(none))).isEqualTo(none);
   }
 
   @Test
@@ -40,12 +41,12 @@
 
   @Test
   void aNewerProgramMayTellMoreAndAnotherVersionIsNotRead() {
-    String body = "7\tkey-1\tpreview\tkelvin-stone\tg=1\t0.5\ts-1\t0.00125\tnews\n";
+    String body = "200\tnews\n7\tkey-1\tpreview\tkelvin-stone\tg=1\t0.5\ts-1\t0.00125\tnews\n";
     java.util.zip.CRC32 sum = new java.util.zip.CRC32();
     sum.update(body.getBytes(StandardCharsets.ISO_8859_1));
     String rest = body.length() + " " + Long.toHexString(sum.getValue()) + "\n" + body;
     assertThat(Image.read(("brassbank-image 1 " + rest).getBytes(StandardCharsets.ISO_8859_1)))
-        .containsExactly(STANDING.get(0));
+        .isEqualTo(new Holding(200, STANDING.subList(0, 1)));
     assertThatThrownBy(
             () -> Image.read(("brassbank-image 2 " + rest).getBytes(StandardCharsets.ISO_8859_1)))
         .hasMessage("not of this version");
