Simulate drains and upgrades, and mend what they found: ids, the list, standby, waiting time

What is passed on has ids, list and standby. The front takes off what a connection may have waited in the queue.

--- a/src/main/java/brassbank/config/Config.java
+++ b/src/main/java/brassbank/config/Config.java
@@ -91,6 +91,26 @@
     return of(Map.of(), "text", text, false);
   }
 
+  /**
+   * The same for a proxy whose listening socket is inherited; {@code file} is that of the locks.
+   */
+  public Config inheriting(Path file) {
+    return new Config(
+        name,
+        listen,
+        management,
+        file,
+        discovery,
+        seed,
+        sockets,
+        known,
+        settings,
+        reportFields,
+        connectTimeoutMicros,
+        idleTimeoutMicros,
+        shape);
+  }
+
   private static Config of(Map<String, String> env, String path, String text, boolean again)
       throws ConfigException {
     try {
--- a/src/main/java/brassbank/decide/Decider.java
+++ b/src/main/java/brassbank/decide/Decider.java
@@ -110,6 +110,9 @@
   private final Map<Long, Entry> ledger = new LinkedHashMap<>();
   private final Map<String, Target> group = new HashMap<>();
 
+  /** The same as discovery told it. */
+  private final Map<String, TargetList.Entry> targets = new LinkedHashMap<>();
+
   /** What each predecessor of this process holds, by its flows' ids. */
   private final Map<Long, Map<Long, Standing>> shadows = new HashMap<>();
 
@@ -223,6 +226,10 @@
     } else if (happening instanceof Happening.ActiveAsked) {
       lifecycle.on(Event.ACTIVE, now);
     } else if (happening instanceof Happening.Predecessor predecessor) {
+      if (!listed && !predecessor.targets().isEmpty()) {
+        // Its list is newer than the one that this process was started with.
+        list(new TargetList(0, true, predecessor.targets()), Balancer.ListKind.CACHED);
+      }
       elsewhere(predecessor.process(), predecessor.standing());
     } else if (happening instanceof Happening.Succeeded succeeded) {
       lifecycle.succeeded(succeeded.yes());
@@ -589,6 +596,11 @@
     return (process << 40) + one.id();
   }
 
+  /** The target group as discovery told it. */
+  public List<TargetList.Entry> targets() {
+    return List.copyOf(targets.values());
+  }
+
   /** How many connections of predecessors the module is told of. */
   int counted() {
     return shadows.values().stream().mapToInt(Map::size).sum();
@@ -673,6 +685,7 @@
   private void list(TargetList list, Balancer.ListKind kind) {
     if (kind != Balancer.ListKind.DELTA) {
       group.clear();
+      targets.clear();
     }
     List<Balancer.ServerEntry> entries = new ArrayList<>(list.entries().size());
     for (TargetList.Entry entry : list.entries()) {
@@ -691,9 +704,11 @@
       }
       if (state == Balancer.State.GONE) {
         group.remove(entry.name());
+        targets.remove(entry.name());
         delays.remove(entry.name());
       } else {
         group.put(entry.name(), new Target(entry.name(), entry.address()));
+        targets.put(entry.name(), entry);
       }
       entries.add(
           new Balancer.ServerEntry(
--- a/src/main/java/brassbank/decide/Happening.java
+++ b/src/main/java/brassbank/decide/Happening.java
@@ -54,9 +54,11 @@
 
   /**
    * What a predecessor of this process holds now: the module counts it as this one's own, so that
-   * its clients are known when they come. The process's number keeps its flows' ids apart.
+   * its clients are known when they come. The process's number keeps its flows' ids apart. Until
+   * discovery tells its list, the predecessor's holds.
    */
-  record Predecessor(long process, List<Standing> standing) implements Happening {}
+  record Predecessor(long process, List<TargetList.Entry> targets, List<Standing> standing)
+      implements Happening {}
 
   /** The proxy is to stop by then (the facade's clock). */
   record Stopping(long by) implements Happening {}
--- a/src/main/java/brassbank/front/Front.java
+++ b/src/main/java/brassbank/front/Front.java
@@ -8,8 +8,10 @@
 import brassbank.net.Link;
 import brassbank.net.Loop;
 import brassbank.net.Net;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -41,8 +43,21 @@
 
   private static final long READY_MICROS = 50_000;
 
+  /**
+   * What waits in an inherited socket's queue when it is opened may have waited for a whole start,
+   * or for a hand-over: its client's time runs since then.
+   */
+  private static final long START_MICROS = 1_000_000;
+
+  private static final long HANDOVER_MICROS = 60_000;
+
+  /** So long after that the queue is taken to be the old one. */
+  private static final long QUEUE_MICROS = 100_000;
+
   private final Net net;
   private final Dispatcher dispatcher;
+  private long queuedUntil = Long.MIN_VALUE;
+  private long queuedFor;
 
   /** Connections that have sent no first line yet, the oldest first. */
   private final Set<Session> silent = new LinkedHashSet<>();
@@ -53,6 +68,9 @@
   /** The ids of flows that wait for their answer or whose connection stands. */
   private final Set<String> ids = new HashSet<>();
 
+  /** Those of flows that a predecessor of this process holds, by its number. */
+  private final Map<Long, Set<String>> elsewhere = new HashMap<>();
+
   private boolean clearing;
   private long flows;
 
@@ -61,6 +79,30 @@
     this.dispatcher = dispatcher;
   }
 
+  /** The ids of flows that wait for their answer or whose connection stands. */
+  public Set<String> ids() {
+    return new LinkedHashSet<>(ids);
+  }
+
+  /** The ids that a predecessor of this process holds now; none once it is gone. */
+  public void elsewhere(long process, Set<String> held) {
+    if (held.isEmpty()) {
+      elsewhere.remove(process);
+    } else {
+      elsewhere.put(process, held);
+    }
+  }
+
+  /**
+   * Connections that others have left waiting come from now on.
+   *
+   * @param first whether no other process took any until now
+   */
+  public void opened(boolean first) {
+    queuedUntil = net.clock().nanos() + TimeUnit.MICROSECONDS.toNanos(QUEUE_MICROS);
+    queuedFor = first ? START_MICROS : HANDOVER_MICROS;
+  }
+
   /** Takes a client's new connection. */
   public void accept(Link link) {
     Session session = new Session(link);
@@ -110,6 +152,10 @@
   /** One client's connection, until it stands or is answered. */
   private final class Session implements Link.Owner, Client {
     private final Link link;
+
+    /** How long it may have waited before it was accepted, in microseconds. */
+    private final long queued;
+
     private Loop.Timer firstLine;
     private long silentSince;
 
@@ -122,6 +168,7 @@
 
     Session(Link link) {
       this.link = link;
+      queued = net.clock().nanos() < queuedUntil ? queuedFor : 0;
     }
 
     private void awaitLine() {
@@ -196,14 +243,15 @@
 
     /** An id is one flow's alone: its target would take a second one for the first. */
     private void submit(OpenLine line) {
-      if (!ids.add(line.id())) {
+      if (elsewhere.values().stream().anyMatch(held -> held.contains(line.id()))
+          || !ids.add(line.id())) {
         throw new IllegalArgumentException("the id is another open flow's");
       }
       open = line;
       id = line.id();
       flow = ++flows;
       makeRoom();
-      dispatcher.submit(open.flow(flow, open.deadlineMillis() * 1000), this);
+      dispatcher.submit(open.flow(flow, open.deadlineMillis() * 1000 - queued), this);
     }
 
     /** The one place where a flow's id is free again. */
--- a/src/main/java/brassbank/handover/DescriptorShare.java
+++ b/src/main/java/brassbank/handover/DescriptorShare.java
@@ -62,6 +62,8 @@
       return sockets;
     }
     int others = predecessors.values().stream().mapToInt(Integer::intValue).sum();
-    return Math.min(ceiling, Math.max(START, sockets - START - others));
+    // What a predecessor says includes what it keeps in reserve: that is enough for a third start.
+    int rest = sockets - (others > 0 ? others : START);
+    return Math.min(ceiling, Math.max(START, rest));
   }
 }
--- a/src/main/java/brassbank/handover/Handover.java
+++ b/src/main/java/brassbank/handover/Handover.java
@@ -21,13 +21,13 @@
   private static final Log LOG = Log.of("handover");
 
   /** How often the locks are looked at: for twice this at most nobody accepts in a hand-over. */
-  private static final long PAUSE_MILLIS = 20;
+  public static final long PAUSE_MILLIS = 20;
 
   /** How long a busy loop may take to turn the listener off, before the others go on. */
   private static final long DOOR_MILLIS = 2_000;
 
-  /** A predecessor that does not tell what it holds by then is older, or hangs. */
-  private static final long IMAGE_PATIENCE = 1_000_000;
+  /** A predecessor that does not tell what it holds by then is older, or hangs; microseconds. */
+  public static final long IMAGE_PATIENCE = 1_000_000;
 
   private static final int NUMBERING_TRIES = 100;
 
--- a/src/main/java/brassbank/handover/Image.java
+++ b/src/main/java/brassbank/handover/Image.java
@@ -1,16 +1,19 @@
 package brassbank.handover;
 
 import brassbank.decide.Standing;
+import brassbank.decide.TargetList;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.zip.CRC32;
 
 /**
- * The form in which a process tells its successor what it holds: one line of text for each
- * connection, after one with the form's version, the length of what follows and a checksum of it,
- * and one with the number of descriptors. A line of a newer program may have more fields at its
- * end, which are passed over; a form of another version is not read. No I/O.
+ * The form in which a process tells its successor what it holds: one line of text for each thing,
+ * by its kind, after one with the form's version, the length of what follows and a checksum of it.
+ * Lines of other kinds and further fields, which a newer program may have, are passed over; a form
+ * of another version is not read. No I/O.
  */
 final class Image {
   /** A bound for the successor's memory; more connections than that no process has descriptors. */
@@ -19,25 +22,43 @@
   static final int MOST_BYTES = 4 << 20;
 
   private static final String HEADER = "brassbank-image 1 ";
-  private static final int FIELDS = 8;
 
   private Image() {}
 
   static byte[] of(Holding holding) {
     StringBuilder body = new StringBuilder();
-    List<Standing> standing = holding.standing();
-    body.append(holding.descriptors()).append('\n');
-    for (Standing one : standing.subList(0, Math.min(standing.size(), MOST_CONNECTIONS))) {
-      body.append(one.id()).append('\t');
-      body.append(one.key()).append('\t');
-      body.append(one.flowClass()).append('\t');
-      body.append(one.tenant() == null ? "" : one.tenant()).append('\t');
-      body.append(one.group() == null ? "" : one.group()).append('\t');
-      body.append(one.hint()).append('\t');
-      body.append(one.target()).append('\t');
-      body.append(one.load()).append('\n');
+    line(body, "descriptors", holding.descriptors());
+    line(body, "standby", holding.standby());
+    holding.ids().stream().limit(MOST_CONNECTIONS).forEach(id -> line(body, "id", id));
+    for (TargetList.Entry entry : holding.targets()) {
+      line(
+          body,
+          "target",
+          entry.name(),
+          entry.address().getAddress().getHostAddress() + ":" + entry.address().getPort(),
+          entry.zone(),
+          entry.type(),
+          entry.group(),
+          entry.status(),
+          entry.weight(),
+          entry.sinceMillis());
     }
-    byte[] bytes = body.toString().getBytes(StandardCharsets.ISO_8859_1);
+    holding.standing().stream()
+        .limit(MOST_CONNECTIONS)
+        .forEach(
+            one ->
+                line(
+                    body,
+                    "connection",
+                    one.id(),
+                    one.key(),
+                    one.flowClass(),
+                    one.tenant() == null ? "" : one.tenant(),
+                    one.group() == null ? "" : one.group(),
+                    one.hint(),
+                    one.target(),
+                    one.load()));
+    byte[] bytes = body.toString().getBytes(StandardCharsets.UTF_8);
     String first = HEADER + bytes.length + " " + Long.toHexString(sum(bytes, 0)) + "\n";
     byte[] header = first.getBytes(StandardCharsets.ISO_8859_1);
     byte[] whole = new byte[header.length + bytes.length];
@@ -46,6 +67,15 @@
     return whole;
   }
 
+  /** One line; a value that would break it is told without what breaks it. */
+  private static void line(StringBuilder into, String kind, Object... values) {
+    into.append(kind);
+    for (Object value : values) {
+      into.append('\t').append(value.toString().replaceAll("\\p{Cntrl}", "?"));
+    }
+    into.append('\n');
+  }
+
   private static long sum(byte[] bytes, int from) {
     CRC32 sum = new CRC32();
     sum.update(bytes, from, bytes.length - from);
@@ -68,30 +98,56 @@
     if (from > bytes.length || !first.substring(HEADER.length()).equals(sums)) {
       throw new IllegalArgumentException("damaged");
     }
-    String body = new String(bytes, from, bytes.length - from, StandardCharsets.ISO_8859_1);
+    String body = new String(bytes, from, bytes.length - from, StandardCharsets.UTF_8);
+    int descriptors = 0;
+    boolean standby = false;
+    Set<String> ids = new LinkedHashSet<>();
+    List<TargetList.Entry> targets = new ArrayList<>();
     List<Standing> standing = new ArrayList<>();
-    List<String> lines = body.lines().toList();
-    if (lines.isEmpty()) {
-      throw new IllegalArgumentException("no number of descriptors");
-    }
-    int descriptors = Integer.parseInt(lines.get(0).split("\t", -1)[0]);
-    for (String line : lines.subList(1, lines.size())) {
-      String[] fields = line.split("\t", -1);
-      if (fields.length < FIELDS || standing.size() == MOST_CONNECTIONS) {
-        throw new IllegalArgumentException(
-            "a line has too few fields, or there are too many lines");
+    try {
+      for (String line : body.lines().toList()) {
+        String[] fields = line.split("\t", -1);
+        switch (fields[0]) {
+          case "descriptors" -> descriptors = Integer.parseInt(fields[1]);
+          case "standby" -> standby = Boolean.parseBoolean(fields[1]);
+          case "id" -> ids.add(fields[1]);
+          case "target" -> targets.add(target(fields));
+          case "connection" -> standing.add(connection(fields));
+          default -> {
+            // A newer program tells more.
+          }
+        }
       }
-      standing.add(
-          new Standing(
-              Long.parseLong(fields[0]),
-              fields[1],
-              fields[2],
-              fields[3].isEmpty() ? null : fields[3],
-              fields[4].isEmpty() ? null : fields[4],
-              Double.parseDouble(fields[5]),
-              fields[6],
-              Double.parseDouble(fields[7])));
+    } catch (IndexOutOfBoundsException e) {
+      throw new IllegalArgumentException("a line has too few fields", e);
+    }
+    if (Math.max(ids.size(), Math.max(targets.size(), standing.size())) > MOST_CONNECTIONS) {
+      throw new IllegalArgumentException("too many lines");
     }
-    return new Holding(descriptors, standing);
+    return new Holding(descriptors, standby, ids, targets, standing);
+  }
+
+  private static TargetList.Entry target(String[] fields) {
+    return new TargetList.Entry(
+        fields[1],
+        TargetList.address(fields[2]),
+        fields[3],
+        fields[4],
+        Integer.parseInt(fields[5]),
+        TargetList.Status.valueOf(fields[6]),
+        Double.parseDouble(fields[7]),
+        Long.parseLong(fields[8]));
+  }
+
+  private static Standing connection(String[] fields) {
+    return new Standing(
+        Long.parseLong(fields[1]),
+        fields[2],
+        fields[3],
+        fields[4].isEmpty() ? null : fields[4],
+        fields[5].isEmpty() ? null : fields[5],
+        Double.parseDouble(fields[6]),
+        fields[7],
+        Double.parseDouble(fields[8]));
   }
 }
--- a/src/main/java/brassbank/net/Net.java
+++ b/src/main/java/brassbank/net/Net.java
@@ -149,15 +149,13 @@
   }
 
   /**
-   * How many descriptors the process needs for what it has: no flow of it is refused under this
-   * limit, and new ones would be soon.
+   * How many descriptors the process needs for what it has, where it takes no more clients: no flow
+   * of it is refused under this limit.
    *
    * @param promised descriptors that are promised and not held yet
    */
   public int needs(int promised) {
-    int room = used() + promised + LEAST;
-    // The last eighth is for refusals, see full().
-    return runtime + RESERVE + places + room + room / 7 + 1;
+    return runtime + RESERVE + places + used() + promised + LEAST;
   }
 
   /** The memory of all links. */
@@ -188,9 +186,12 @@
     return full(0);
   }
 
-  /** As {@link #full()}, with so many descriptors that are promised and not held yet. */
+  /**
+   * As {@link #full()}, with so many descriptors that are promised and not held yet. Nothing is
+   * kept back for refusals where no new clients come.
+   */
   public boolean full(int promised) {
-    return used() + promised > most - most / 8;
+    return used() + promised > most - (open ? most / 8 : 0);
   }
 
   /** How many clients that have said nothing yet there may be. */
--- a/src/main/java/brassbank/proxy/Proxy.java
+++ b/src/main/java/brassbank/proxy/Proxy.java
@@ -12,6 +12,7 @@
 import brassbank.front.Front;
 import brassbank.handover.DescriptorShare;
 import brassbank.handover.Holding;
+import brassbank.lifecycle.State;
 import brassbank.log.Log;
 import brassbank.management.Management;
 import brassbank.net.Net;
@@ -58,12 +59,18 @@
   private final FlowClock clock;
   private final long made;
   private volatile boolean able;
+  private boolean first;
+
+  /** The predecessor's clients were sent away by operators: so are this one's. */
+  private boolean standby;
+
   private final DescriptorShare share;
   private final Net net;
   private final Relay relay;
   private final Decider decider;
   private final Dispatcher dispatcher;
   private final Discovery discovery;
+  private final Front front;
 
   /** A proxy that is told no more than the platform's own configuration. */
   public Proxy(Config config, Network network) {
@@ -87,6 +94,7 @@
             config.connectTimeoutMicros(),
             config.idleTimeoutMicros(),
             config.reportFields());
+    front = new Front(net, dispatcher);
     discovery =
         new Discovery(
             net,
@@ -105,7 +113,6 @@
     if (config.management() != null) {
       new Management(net, new Operation(decider, dispatcher, net)).listen(config.management());
     }
-    Front front = new Front(net, dispatcher);
     if (config.handover() != null) {
       net.inherit(front::accept);
     } else {
@@ -128,6 +135,7 @@
   public boolean able(boolean first) {
     net.execute(
         () -> {
+          this.first = first;
           boolean patient = !first && clock.now() - made < LIST_PATIENCE;
           able = decider.ready() && (decider.listed() || !patient);
         });
@@ -144,22 +152,45 @@
         () -> {
           share.needs(on, net.needs(dispatcher.waiting()));
           net.limit(share.limit());
+          if (on) {
+            front.opened(first);
+          }
           net.open(on);
           dispatcher.report(new Happening.Succeeded(!on));
           if (on) {
             dispatcher.report(new Happening.Serving());
           }
+          if (on && standby) {
+            standby = false;
+            dispatcher.report(new Happening.StandbyAsked());
+          }
           done.run();
         });
   }
 
+  /** Sends the clients away and lives on; any thread may call. */
+  public void standby() {
+    net.execute(() -> dispatcher.report(new Happening.StandbyAsked()));
+  }
+
+  /** Takes clients again; any thread may call. */
+  public void active() {
+    net.execute(() -> dispatcher.report(new Happening.ActiveAsked()));
+  }
+
   /** Has told what this process holds, on the loop's thread; any thread may call. */
   public void holds(Consumer<Holding> told) {
     net.execute(
         () -> {
           share.needs(net.isOpen(), net.needs(dispatcher.waiting()));
           net.limit(share.limit());
-          told.accept(new Holding(share.limit(), decider.standing()));
+          told.accept(
+              new Holding(
+                  share.limit(),
+                  decider.state() == State.DRAINING || decider.state() == State.STANDBY,
+                  front.ids(),
+                  decider.targets(),
+                  decider.standing()));
         });
   }
 
@@ -169,7 +200,11 @@
         () -> {
           share.predecessor(number, holding.descriptors());
           net.limit(share.limit());
-          dispatcher.report(new Happening.Predecessor(number, holding.standing()));
+          // A process that already serves hears its operators itself.
+          standby = !net.isOpen() && (holding.standby() || (standby && holding.descriptors() == 0));
+          front.elsewhere(number, holding.ids());
+          dispatcher.report(
+              new Happening.Predecessor(number, holding.targets(), holding.standing()));
         });
   }
 
--- a/src/main/java/brassbank/sim/Run.java
+++ b/src/main/java/brassbank/sim/Run.java
@@ -17,6 +17,7 @@
 import brassbank.sim.event.Event;
 import brassbank.sim.event.Trace;
 import brassbank.sim.fault.Fault;
+import brassbank.sim.fault.Kinds;
 import brassbank.sim.fault.Plan;
 import brassbank.sim.fault.Stage;
 import brassbank.sim.net.Fabric;
@@ -150,10 +151,12 @@
                 world.machine("discovery-1", zones.get(0), 2, 1),
                 world.machine("discovery-2", zones.get(0), 2, 2))));
     world.front(new Front(world));
+    boolean upgraded =
+        plan.faults().stream().anyMatch(fault -> fault.kind().name().equals(Kinds.UPGRADE));
     for (int i = 0; i < site.proxies(); i++) {
       String name = "n" + i;
       Machine machine = world.machine(name, zones.get(i % zones.size()), 0, i + 1);
-      proxies.put(name, new ProxyNode(world, told, name, i, machine, wrapping));
+      proxies.put(name, new ProxyNode(world, told, name, i, machine, wrapping, upgraded));
     }
     for (int i = 0; i < zones.size(); i++) {
       Machine machine = world.machine("clients-" + zones.get(i), zones.get(i), 4, i + 1);
@@ -314,7 +317,7 @@
 
     @Override
     public int descriptors(String proxy) {
-      return proxies.get(proxy).program().descriptors();
+      return proxies.get(proxy).descriptors();
     }
 
     @Override
--- a/src/main/java/brassbank/sim/actor/Front.java
+++ b/src/main/java/brassbank/sim/actor/Front.java
@@ -89,6 +89,12 @@
     world.agenda().after(stream.micros(STOP_LEAST, STOP_MOST), () -> entry.admitted = false);
   }
 
+  /** A proxy that was on standby is asked again until it answers. */
+  public void calledBack(String name) {
+    Entry entry = entries.get(name);
+    ask(entry, entry.life);
+  }
+
   /** Where a client of this zone connects to, or null where no proxy is admitted. */
   InetSocketAddress pick(String zone, Draws.Stream chance) {
     List<Entry> near = new ArrayList<>();
--- a/src/main/java/brassbank/sim/check/Checks.java
+++ b/src/main/java/brassbank/sim/check/Checks.java
@@ -35,6 +35,8 @@
         new SilenceNoticed(),
         new BadClients(),
         new PlannedStop(),
+        new StandbyEmpty(),
+        new OneDoor(),
         new Descriptors(figures),
         new NoFailure(),
         new Recovery(figures));
--- /dev/null
+++ b/src/main/java/brassbank/sim/check/OneDoor.java
@@ -0,0 +1,31 @@
+package brassbank.sim.check;
+
+import brassbank.sim.event.Event;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Of the processes that hold a proxy's listening socket one at a time takes connections: none
+ * before its yes, and the one before it none after that.
+ */
+final class OneDoor extends Rule {
+  private final Map<String, Long> holders = new HashMap<>();
+
+  OneDoor() {
+    super("one process takes the connections");
+  }
+
+  @Override
+  void see(long now, Event event) {
+    if (event instanceof Event.DoorHeld held) {
+      holders.put(held.proxy(), held.process());
+    } else if (event instanceof Event.DoorUsed used) {
+      Long holder = holders.get(used.proxy());
+      if (holder == null || holder != used.process()) {
+        broken(
+            now,
+            used.proxy() + ": process " + used.process() + " accepts, and " + holder + " is to");
+      }
+    }
+  }
+}
--- a/src/main/java/brassbank/sim/event/Event.java
+++ b/src/main/java/brassbank/sim/event/Event.java
@@ -127,6 +127,18 @@
   /** SIGTERM: a planned stop begins. */
   record ProxyTerminated(String proxy) implements Event {}
 
+  /** An operator's call: it is to send its clients away, and to live on. */
+  record ProxyOnStandby(String proxy) implements Event {}
+
+  /** An operator's call: it takes clients again. */
+  record ProxyCalledBack(String proxy) implements Event {}
+
+  /** Of the processes of an inherited listening socket this one takes connections from here on. */
+  record DoorHeld(String proxy, long process) implements Event {}
+
+  /** A process has accepted a connection from an inherited listening socket. */
+  record DoorUsed(String proxy, long process) implements Event {}
+
   /** It has ended by itself. */
   record ProxyExited(String proxy, int status) implements Event {}
 
--- a/src/main/java/brassbank/sim/fault/Kinds.java
+++ b/src/main/java/brassbank/sim/fault/Kinds.java
@@ -24,6 +24,9 @@
 
   private static final FaultKind.Doing NOTHING = (stage, fault) -> {};
 
+  /** Needs a listening socket that the platform holds, from the start of the run. */
+  public static final String UPGRADE = "proxy-upgrade";
+
   /** All kinds, in a fixed order. */
   public static final List<FaultKind> ALL = all();
 
@@ -531,6 +534,30 @@
             2,
             (stage, fault) -> stage.proxy(fault).restart(),
             NOTHING));
+    all.add(
+        new FaultKind(
+            "proxy-standby",
+            "operators have a proxy's clients sent away, and call it back",
+            FaultKind.On.PROXY,
+            5_000,
+            9_000,
+            0,
+            0,
+            2,
+            (stage, fault) -> stage.proxy(fault).standby(fault.forMillis() * MILLI),
+            NOTHING));
+    all.add(
+        new FaultKind(
+            UPGRADE,
+            "a process is started beside the one that serves, and succeeds it",
+            FaultKind.On.PROXY,
+            6_000,
+            6_000,
+            0,
+            0,
+            2,
+            (stage, fault) -> stage.proxy(fault).upgrade(),
+            NOTHING));
     all.add(
         new FaultKind(
             "rolling-restart",
--- a/src/main/java/brassbank/sim/net/Port.java
+++ b/src/main/java/brassbank/sim/net/Port.java
@@ -42,9 +42,14 @@
 
   /** The oldest connection that waits, or null; it then is the program's own and counts there. */
   public Endpoint accept() {
+    return accept(program);
+  }
+
+  /** As {@link #accept()}, by a program that has inherited the socket from the one that listens. */
+  public Endpoint accept(Program heir) {
     Endpoint endpoint = waiting.poll();
     if (endpoint != null) {
-      program.adopt(endpoint);
+      heir.adopt(endpoint);
     }
     return endpoint;
   }
--- a/src/main/java/brassbank/sim/proxy/ProxyNode.java
+++ b/src/main/java/brassbank/sim/proxy/ProxyNode.java
@@ -2,6 +2,9 @@
 
 import brassbank.config.Config;
 import brassbank.config.ConfigException;
+import brassbank.handover.Handover;
+import brassbank.handover.Holding;
+import brassbank.handover.Succession;
 import brassbank.net.Network;
 import brassbank.proxy.Proxy;
 import brassbank.sim.actor.Site;
@@ -13,6 +16,11 @@
 import brassbank.sim.time.Draws;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.function.UnaryOperator;
 
 /**
@@ -40,6 +48,14 @@
   private static final long RESTART_LEAST = 200 * MILLI;
   private static final long RESTART_MOST = 1_500 * MILLI;
 
+  /** DAYS, Upgrades: the new process has so long to say yes. */
+  private static final long YES_WITHIN = 6_000 * MILLI;
+
+  private static final int BACKLOG = 1_024;
+
+  /** Two runtimes, what each keeps in reserve, and clients: with fewer no upgrade can be served. */
+  private static final int SOCKETS_FOR_TWO = 320;
+
   private final World world;
   private final Site told;
   private final String name;
@@ -47,11 +63,18 @@
   private final Machine machine;
   private final InetSocketAddress address;
   private final UnaryOperator<Network> wrapping;
+  private final boolean inherits;
   private final Draws.Stream stream;
+
+  /** Those that live, the last one among them. */
+  private final List<Process> processes = new ArrayList<>();
+
+  private SharedDoor door;
   private int sockets;
-  private int lives;
+  private long lives;
   private int moves;
   private String known;
+  private Process process;
   private Program program;
   private SimClock clock;
   private Proxy proxy;
@@ -62,6 +85,7 @@
   /**
    * @param told the site as the proxy's settings tell it
    * @param wrapping put round the network of each of its lives; the tests plant bugs here
+   * @param inherits whether the platform holds its listening socket, so that it can be upgraded
    */
   public ProxyNode(
       World world,
@@ -69,13 +93,15 @@
       String name,
       int rank,
       Machine machine,
-      UnaryOperator<Network> wrapping) {
+      UnaryOperator<Network> wrapping,
+      boolean inherits) {
     this.world = world;
     this.told = told;
     this.name = name;
     this.rank = rank;
     this.machine = machine;
     this.wrapping = wrapping;
+    this.inherits = inherits;
     this.sockets = world.site().sockets();
     this.address = new InetSocketAddress(machine.address(), PORT);
     this.stream = world.draws().of("proxy " + name);
@@ -112,28 +138,201 @@
     world.discovery().knows(name, true);
     stopping = false;
     proxy = null;
-    lives++;
-    program = new Program(machine, name, RUNTIME, sockets);
+    if (inherits && door == null) {
+      openDoor();
+    }
+    process = new Process();
+    program = process.program;
     clock = new SimClock(world.agenda(), stream.bits() >>> 8, World.EPOCH_MILLIS);
     world.tell(new Event.ProxyStarted(name));
-    program.later(atOnce ? 0 : stream.micros(BOOT_LEAST, BOOT_MOST), this::serve);
+    program.later(atOnce ? 0 : stream.micros(BOOT_LEAST, BOOT_MOST), process::serve);
     world.front().started(name, machine, address);
   }
 
-  private void serve() {
-    Network network =
-        wrapping.apply(
-            new SimNetwork(
-                program, clock, held -> world.tell(new Event.DescriptorsExhausted(name, held))));
+  private void openDoor() {
     try {
-      Proxy made = new Proxy(Config.of(config(0)), network);
-      made.start();
-      proxy = made;
-    } catch (ConfigException | IOException e) {
-      throw new IllegalStateException("a proxy cannot start: " + e.getMessage(), e);
+      door =
+          new SharedDoor(
+              machine,
+              PORT,
+              BACKLOG,
+              by ->
+                  processes.stream()
+                      .filter(one -> one.program == by)
+                      .forEach(one -> world.tell(new Event.DoorUsed(name, one.number))));
+    } catch (IOException e) {
+      throw new IllegalStateException("the platform cannot listen: " + e.getMessage(), e);
+    }
+  }
+
+  /** The platform holds the socket as long as a process of the proxy lives. */
+  private void closeDoor() {
+    processes.removeIf(one -> !one.program.alive());
+    if (door != null && processes.isEmpty()) {
+      door.close();
+      door = null;
+    }
+  }
+
+  /** Descriptors that its processes hold together. */
+  public int descriptors() {
+    return processes.stream()
+        .filter(one -> one.program.alive())
+        .mapToInt(one -> one.program.descriptors())
+        .sum();
+  }
+
+  /** One process of the proxy, and what the others see of it. */
+  private final class Process {
+    private final long number = ++lives;
+    private final Program program = new Program(machine, name, RUNTIME, sockets);
+    private final Succession succession = new Succession();
+    private final Map<Long, Holding> seen = new LinkedHashMap<>();
+    private final long began = world.now();
+    private Proxy proxy;
+
+    /** What its locks say. */
+    private Succession.Phase told = Succession.Phase.WAITING;
+
+    /** What its file says; null while there is none. */
+    private Holding holding;
+
+    /** Runs each time it begins to take connections. */
+    private Runnable yes = () -> {};
+
+    private boolean saidYes;
+
+    Process() {
+      processes.add(this);
+    }
+
+    void serve() {
+      SimNetwork.Exhausted exhausted =
+          held -> world.tell(new Event.DescriptorsExhausted(name, held));
+      Network network = wrapping.apply(new SimNetwork(program, clock, exhausted, door));
+      try {
+        Config read = Config.of(config(0));
+        proxy = new Proxy(inherits ? read.inheriting(Path.of(name)) : read, network);
+        proxy.start();
+      } catch (ConfigException | IOException e) {
+        throw new IllegalStateException("a proxy cannot start: " + e.getMessage(), e);
+      }
+      if (process == this) {
+        ProxyNode.this.proxy = proxy;
+      }
+      if (inherits) {
+        look();
+      }
+    }
+
+    private List<Process> others(boolean successors) {
+      return processes.stream()
+          .filter(one -> one.program.alive() && one != this)
+          .filter(one -> successors == one.number > number)
+          .toList();
+    }
+
+    /** What {@code Handover} does with locks and files, at its pace. */
+    private void look() {
+      Succession.Phase before = succession.phase();
+      boolean accepted = others(false).stream().anyMatch(one -> one.told.accepts());
+      boolean succeeded = others(true).stream().anyMatch(one -> one.told.ready());
+      boolean knows = pass();
+      boolean able = before.ready() || (knows && proxy.able(!accepted));
+      Succession.Phase phase =
+          succession.step(world.now(), new Succession.View(accepted, succeeded), able);
+      if (before.accepts() && !phase.accepts()) {
+        proxy.accept(false, () -> told = phase);
+      } else {
+        told = phase;
+        if (!before.accepts() && phase.accepts()) {
+          world.tell(new Event.DoorHeld(name, number));
+          proxy.accept(true, () -> yes.run());
+        }
+      }
+      program.later(Handover.PAUSE_MILLIS * MILLI, this::look);
+    }
+
+    private boolean pass() {
+      if (!others(true).isEmpty()) {
+        proxy.holds(held -> holding = held);
+      }
+      List<Process> before = others(false);
+      for (Process one : before) {
+        if (one.holding != null && one.holding != seen.put(one.number, one.holding)) {
+          proxy.predecessor(one.number, one.holding);
+        }
+      }
+      for (long known : List.copyOf(seen.keySet())) {
+        if (before.stream().noneMatch(one -> one.number == known)) {
+          seen.remove(known);
+          proxy.predecessor(known, Holding.NOTHING);
+        }
+      }
+      return world.now() - began >= Handover.IMAGE_PATIENCE
+          || before.stream().allMatch(one -> seen.containsKey(one.number));
     }
   }
 
+  /**
+   * The platform starts a process beside the one that serves; once it has said yes, the old one
+   * gets SIGTERM, and SIGKILL when its time is over. One that says no for too long is killed.
+   */
+  public void upgrade() {
+    if (sockets < SOCKETS_FOR_TWO) {
+      return;
+    }
+    if (!inherits || !serving() || processes.stream().filter(p -> p.program.alive()).count() > 1) {
+      return;
+    }
+    Process old = process;
+    Process next = new Process();
+    next.program.later(stream.micros(BOOT_LEAST, BOOT_MOST), next::serve);
+    next.yes =
+        () -> {
+          if (next.saidYes) {
+            return;
+          }
+          next.saidYes = true;
+          process = next;
+          program = next.program;
+          proxy = next.proxy;
+          leave(old);
+        };
+    world
+        .agenda()
+        .after(
+            YES_WITHIN,
+            () -> {
+              if (!next.saidYes) {
+                next.program.kill();
+              }
+            });
+  }
+
+  /** SIGTERM to a process whose successor serves. */
+  private void leave(Process old) {
+    if (!old.program.alive()) {
+      return;
+    }
+    old.program.later(
+        0,
+        () -> {
+          long limit = old.proxy.drain(old.program::exit);
+          old.program.later(limit, old.program::exit);
+        });
+    world
+        .agenda()
+        .after(
+            stream.micros(KILL_LEAST, KILL_MOST),
+            () -> {
+              if (old.program.alive()) {
+                old.program.kill();
+                world.tell(new Event.ProxyKilled(name, true));
+              }
+            });
+  }
+
   private String config(int further) {
     return ProxyConfig.text(
         told,
@@ -151,7 +350,8 @@
   public void crash(long downFor) {
     if (program != null && program.alive()) {
       end();
-      program.kill();
+      processes.forEach(one -> one.program.kill());
+      closeDoor();
       world.front().died(name);
       world.tell(new Event.ProxyKilled(name, false));
     }
@@ -184,11 +384,34 @@
         });
   }
 
+  /** Operators have its clients sent away, and call it back after so many microseconds. */
+  public void standby(long awayFor) {
+    if (!serving()) {
+      return;
+    }
+    Program life = program;
+    world.tell(new Event.ProxyOnStandby(name));
+    proxy.standby();
+    world.front().stopping(name);
+    world
+        .agenda()
+        .after(
+            awayFor,
+            () -> {
+              if (serving() && program == life) {
+                proxy.active();
+                world.tell(new Event.ProxyCalledBack(name));
+                world.front().calledBack(name);
+              }
+            });
+  }
+
   private void exit(Program life) {
     if (life.alive()) {
       kill.cancel();
       end();
       life.exit();
+      closeDoor();
       world.tell(new Event.ProxyExited(name, 0));
       world.agenda().after(stream.micros(RESTART_LEAST, RESTART_MOST), () -> start(false));
     }
@@ -198,6 +421,7 @@
     if (life.alive()) {
       end();
       life.kill();
+      closeDoor();
       world.tell(new Event.ProxyKilled(name, true));
       world.agenda().after(stream.micros(RESTART_LEAST, RESTART_MOST), () -> start(false));
     }
@@ -213,7 +437,11 @@
     if (serving()) {
       world.tell(new Event.ProxyHungUp(name, further > 0));
       try {
-        proxy.reload(Config.of(config(further)));
+        Config next = Config.of(config(further));
+        // An upgrade's other process reads the same file.
+        processes.stream()
+            .filter(one -> one.program.alive() && one.proxy != null)
+            .forEach(one -> one.proxy.reload(next));
       } catch (ConfigException e) {
         throw new IllegalStateException(e);
       }
@@ -231,7 +459,7 @@
   public void pause(long micros) {
     if (program != null) {
       pausedUntil = Math.max(pausedUntil, world.now() + micros);
-      program.pause(pausedUntil);
+      processes.forEach(one -> one.program.pause(pausedUntil));
     }
   }
 
--- a/src/main/java/brassbank/sim/proxy/SimNetwork.java
+++ b/src/main/java/brassbank/sim/proxy/SimNetwork.java
@@ -11,6 +11,8 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.function.Consumer;
+import java.util.function.IntSupplier;
+import java.util.function.Supplier;
 
 /** The contract's network, for one run of a proxy on a simulated machine. */
 public final class SimNetwork implements Network {
@@ -25,14 +27,21 @@
   private final Program program;
   private final Clock clock;
   private final Exhausted exhausted;
+  private final SharedDoor door;
   private Loop loop;
   private Agenda.Entry timer;
   private long armedFor = Long.MAX_VALUE;
 
   public SimNetwork(Program program, Clock clock, Exhausted exhausted) {
+    this(program, clock, exhausted, null);
+  }
+
+  /** With a listening socket that the program has inherited, or null for none. */
+  SimNetwork(Program program, Clock clock, Exhausted exhausted, SharedDoor door) {
     this.program = program;
     this.clock = clock;
     this.exhausted = exhausted;
+    this.door = door;
   }
 
   @Override
@@ -70,20 +79,36 @@
     if (!address.getAddress().equals(program.machine().address())) {
       throw new IOException("cannot assign the requested address " + address);
     }
-    Accepting accepting = new Accepting(accepted);
-    accepting.port = program.listen(address.getPort(), BACKLOG, accepting::turn);
+    Accepting accepting = new Accepting(accepted, true);
+    Port port = program.listen(address.getPort(), BACKLOG, accepting::turn);
+    accepting.waiting = port::waiting;
+    accepting.accept = port::accept;
+    return accepting;
+  }
+
+  @Override
+  public Network.Listener inherit(Consumer<Channel> accepted) throws IOException {
+    if (door == null) {
+      return Network.super.inherit(accepted);
+    }
+    Accepting accepting = new Accepting(accepted, false);
+    accepting.waiting = door::waiting;
+    accepting.accept = () -> door.accept(program);
+    door.heir(accepting::again);
     return accepting;
   }
 
   /** The listener's part: takes one connection a turn, while it is on. */
   private final class Accepting implements Network.Listener {
     private final Consumer<Channel> accepted;
-    private Port port;
-    private boolean on = true;
+    private IntSupplier waiting;
+    private Supplier<Endpoint> accept;
+    private boolean on;
     private boolean due;
 
-    Accepting(Consumer<Channel> accepted) {
+    Accepting(Consumer<Channel> accepted, boolean on) {
       this.accepted = accepted;
+      this.on = on;
     }
 
     @Override
@@ -93,7 +118,7 @@
     }
 
     private void again() {
-      if (on && !due && port.waiting() > 0) {
+      if (on && !due && waiting.getAsInt() > 0) {
         due = true;
         program.later(0, this::turn);
       }
@@ -101,7 +126,7 @@
 
     private void turn() {
       due = false;
-      if (!on || port.waiting() == 0) {
+      if (!on || waiting.getAsInt() == 0) {
         return;
       }
       if (!program.room()) {
@@ -110,7 +135,7 @@
         on = false;
         return;
       }
-      Endpoint endpoint = port.accept();
+      Endpoint endpoint = accept.get();
       SimNetwork.this.turn(() -> accepted.accept(new SimChannel(SimNetwork.this, endpoint)));
       again();
     }
--- a/src/test/java/brassbank/Site.java
+++ b/src/test/java/brassbank/Site.java
@@ -232,6 +232,15 @@
     return first;
   }
 
+  /** Whether the program that was started last is up, and on standby. */
+  boolean standsBy() throws IOException {
+    try {
+      return state().startsWith("standby");
+    } catch (java.net.ConnectException e) {
+      return false;
+    }
+  }
+
   /** What the proxy says it is: the last line of its status. */
   String state() throws IOException {
     try (Peer operator = Peer.to(management).send("GET /status HTTP/1.1\r\nHost: x\r\n\r\n")) {
--- a/src/test/java/brassbank/UpgradeTest.java
+++ b/src/test/java/brassbank/UpgradeTest.java
@@ -96,6 +96,25 @@
     served();
   }
 
+  @Test
+  void aProxyOnStandbyStaysSoAndAnIdOfTheOldOnesIsNoNewFlows() throws Exception {
+    Peer standing = kept(site.client("feed", "d=4000"));
+    assertThat(standing.line()).isEqualTo("UP r-1");
+    Process first = upgraded();
+    assertThat(site.client("feed", "d=4000").line()).startsWith("ERR");
+    site.call("PUT /standby");
+    site.beside();
+    started.add(first);
+    Site.tell(site.watch(), Site.list(2, true, "SERVING", target));
+    for (int i = 0; !site.standsBy(); i++) {
+      assertThat(i).as("looks at the second successor").isLessThan(500);
+      Thread.sleep(10);
+    }
+    assertThat(site.call("GET /status")).startsWith("HTTP/1.1 503");
+    assertThat(site.call("PUT /active")).startsWith("HTTP/1.1 200");
+    served();
+  }
+
   @Test
   void aSuccessorThatDiesLeavesTheDoorToTheOldOne() throws Exception {
     Process first = upgraded();
--- a/src/test/java/brassbank/decide/DeciderTest.java
+++ b/src/test/java/brassbank/decide/DeciderTest.java
@@ -120,13 +120,13 @@
     assertThat(held).hasSize(1);
     Decider successor = new Decider(config.settings(), 2, config.known(), clock);
     Standing foreign = new Standing(9, "key", "no-such", null, null, 0, "s-1", 1);
-    successor.report(new Happening.Predecessor(3, List.of(held.get(0), foreign)));
+    successor.report(new Happening.Predecessor(3, List.of(), List.of(held.get(0), foreign)));
     assertThat(successor.open()).as("they are not its own").isZero();
     assertThat(successor.standing()).isEmpty();
     assertThat(successor.counted()).isEqualTo(1);
-    successor.report(new Happening.Predecessor(3, held));
+    successor.report(new Happening.Predecessor(3, List.of(), held));
     assertThat(successor.counted()).as("told twice").isEqualTo(1);
-    successor.report(new Happening.Predecessor(3, List.of()));
+    successor.report(new Happening.Predecessor(3, List.of(), List.of()));
     assertThat(successor.counted()).isZero();
   }
 
--- a/src/test/java/brassbank/handover/ImageTest.java
+++ b/src/test/java/brassbank/handover/ImageTest.java
@@ -4,9 +4,11 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import brassbank.decide.Standing;
+import brassbank.decide.TargetList;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 class ImageTest {
@@ -15,12 +17,26 @@
           new Standing(7, "key-1", "preview", "kelvin-stone", "g=1", 0.5, "s-1", 1.25e-3),
           new Standing(8, "key-2", "presentation", null, null, 0, "s-2", Double.NaN));
 
-  private final byte[] bytes = Image.of(new Holding(200, STANDING));
+  private static final TargetList.Entry TARGET =
+      new TargetList.Entry(
+          "s-1",
+          TargetList.address("127.0.0.1:9"),
+          "leith",
+          "fast-box",
+          3,
+          TargetList.Status.DRAINING,
+          1.5,
+          12);
+
+  private static final Holding HOLDING =
+      new Holding(200, true, Set.of("9b1f"), List.of(TARGET), STANDING);
+
+  private final byte[] bytes = Image.of(HOLDING);
 
   @Test
   void whatIsWrittenIsRead() {
-    assertThat(Image.read(bytes)).isEqualTo(new Holding(200, STANDING));
-    Holding none = new Holding(60, List.of());
+    assertThat(Image.read(bytes)).isEqualTo(HOLDING);
+    Holding none = new Holding(60, false, Set.of(), List.of(), List.of());
     assertThat(Image.read(Image.of(none))).isEqualTo(none);
   }
 
@@ -41,12 +57,13 @@
 
   @Test
   void aNewerProgramMayTellMoreAndAnotherVersionIsNotRead() {
-    String body = "200\tnews\n7\tkey-1\tpreview\tkelvin-stone\tg=1\t0.5\ts-1\t0.00125\tnews\n";
+    String body =
+        "descriptors\t200\tnews\nnews\t1\nconnection\t7\tkey-1\tpreview\tkelvin-stone\tg=1\t0.5\ts-1\t0.00125\tnews\n";
     java.util.zip.CRC32 sum = new java.util.zip.CRC32();
     sum.update(body.getBytes(StandardCharsets.ISO_8859_1));
     String rest = body.length() + " " + Long.toHexString(sum.getValue()) + "\n" + body;
     assertThat(Image.read(("brassbank-image 1 " + rest).getBytes(StandardCharsets.ISO_8859_1)))
-        .isEqualTo(new Holding(200, STANDING.subList(0, 1)));
+        .isEqualTo(new Holding(200, false, Set.of(), List.of(), STANDING.subList(0, 1)));
     assertThatThrownBy(
             () -> Image.read(("brassbank-image 2 " + rest).getBytes(StandardCharsets.ISO_8859_1)))
         .hasMessage("not of this version");
--- a/src/test/java/brassbank/sim/PlantedBug.java
+++ b/src/test/java/brassbank/sim/PlantedBug.java
@@ -80,6 +80,15 @@
   /** The descriptors that the runtime holds are not counted. */
   DESCRIPTORS_MISCOUNTED("descriptors within", Miscounted::new),
 
+  /** A drain moves no one. */
+  DRAIN_FORGOTTEN("a proxy on standby", StopForgotten::new),
+
+  /** A client that is to be moved is forgotten: it hears nothing, and stays. */
+  CLIENT_FORGOTTEN("a proxy on standby", real -> toClients(real, "MOVE", Spoil.DROPPED_FOR_GOOD)),
+
+  /** The old process goes on accepting after its successor's yes. */
+  DOOR_KEPT("one process takes", DoorKept::new),
+
   /** A planned stop moves no one. */
   STOP_FORGOTTEN("no connection cut off", StopForgotten::new);
 
@@ -550,4 +559,20 @@
       }
     }
   }
+
+  private static final class DoorKept extends Wrapped {
+    DoorKept(Network real) {
+      super(real);
+    }
+
+    @Override
+    public Listener inherit(java.util.function.Consumer<Channel> accepted) throws IOException {
+      Listener listener = super.inherit(accepted);
+      return on -> {
+        if (on) {
+          listener.accepting(true);
+        }
+      };
+    }
+  }
 }
--- a/src/test/java/brassbank/sim/Wrapped.java
+++ b/src/test/java/brassbank/sim/Wrapped.java
@@ -40,6 +40,11 @@
     return real.listen(address, first, channel -> accepted.accept(fromClient(channel)));
   }
 
+  @Override
+  public Listener inherit(Consumer<Channel> accepted) throws IOException {
+    return real.inherit(channel -> accepted.accept(fromClient(channel)));
+  }
+
   @Override
   public Attempt connect(InetSocketAddress address, Connected then) {
     return real.connect(
