Module: only what stood before any measure leaves what a connection adds now

Change: Limits.joined says NaN for a connection that reports show while nothing tells its load, and Limits.left takes an estimate off for those only.

--- a/src/main/java/ashspar/limits/Limits.java
+++ b/src/main/java/ashspar/limits/Limits.java
@@ -218,7 +218,8 @@
    *
    * @param cost its load against a mean one's
    * @param shown whether reports show it already
-   * @return what it adds to the server's load, to be given back by {@link #left}
+   * @return what it adds to the server's load, to be given back by {@link #left}; NaN where reports
+   *     show it and nothing tells yet how much it is
    */
   public double joined(long now, ServerLimits server, double cost, String group, boolean shown) {
     // Places of a cold server are dealt out: nobody else takes this one.
@@ -230,7 +231,7 @@
     }
     server.joined(now, shown ? 0 : adds, group);
     elsewhere.add(now, shown ? 0 : 1);
-    return adds;
+    return shown && adds == 0 ? Double.NaN : adds;
   }
 
   private int alike() {
@@ -239,13 +240,16 @@
 
   /**
    * What has {@link #joined} a server is gone from there, with what it added. A connection that
-   * stood before anything was measured, as those of a predecessor do, was taken to add nothing: it
-   * leaves what one adds now. Without this their clients, once moved, waited for seconds before
-   * hosts that their own load seemed to fill.
+   * stood before anything was measured, as those of a predecessor do, leaves what one adds now.
+   * Without this their clients, once moved, waited for seconds before hosts that their own load
+   * seemed to fill.
    */
   public void left(long now, ServerLimits server, double added, String group) {
     boolean lone = server.groups.isLone(group);
-    double leaves = added != 0 ? added : estimate.adds(1, lone, 1, server.sizeNow(), meanSize);
+    double leaves = added;
+    if (Double.isNaN(added)) {
+      leaves = estimate.adds(1, lone, 1, server.sizeNow(), meanSize);
+    }
     if (lone) {
       holders.computeIfPresent(group, (g, servers) -> servers > 1 ? servers - 1 : null);
     }
--- a/src/test/java/ashspar/limits/LimitsTest.java
+++ b/src/test/java/ashspar/limits/LimitsTest.java
@@ -421,7 +421,7 @@
     double[] added = new double[10];
     for (int i = 0; i < added.length; i++) {
       added[i] = limits.joined(0, server, 1, "g" + i, true);
-      assertThat(added[i]).as("nothing is known yet").isZero();
+      assertThat(added[i]).as("nothing is known yet").isNaN();
     }
     limits.measure(SECOND, 0.7, added.length, 1);
     server.reported(SECOND, 0.7, 0);
