Part the scene of a simulation from what turns it and from whose proxies they are

Need: the fleet lab plays the same actors, faults and rules on real processes. Scene holds what both worlds share; Run keeps virtual time and the program's proxies.

--- /dev/null
+++ b/src/main/java/brassbank/sim/Scene.java
@@ -0,0 +1,321 @@
+package brassbank.sim;
+
+import brassbank.sim.actor.Addresses;
+import brassbank.sim.actor.BadClient;
+import brassbank.sim.actor.Client;
+import brassbank.sim.actor.Discovery;
+import brassbank.sim.actor.Front;
+import brassbank.sim.actor.Instance;
+import brassbank.sim.actor.Site;
+import brassbank.sim.actor.StreamHost;
+import brassbank.sim.actor.World;
+import brassbank.sim.check.Checks;
+import brassbank.sim.check.Truth;
+import brassbank.sim.event.Event;
+import brassbank.sim.event.Trace;
+import brassbank.sim.fault.Fault;
+import brassbank.sim.fault.Plan;
+import brassbank.sim.fault.Stage;
+import brassbank.sim.net.Fabric;
+import brassbank.sim.net.Machine;
+import brassbank.sim.net.Program;
+import brassbank.sim.time.Agenda;
+import brassbank.sim.time.Draws;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * A plan set on stage: the site with all its actors, the faults, the clients and the rules, on an
+ * agenda that somebody else turns. Whose proxies they are, and by which clock the agenda goes, is
+ * not known here: {@link Run} has the program in virtual time, the fleet lab real processes.
+ */
+public final class Scene {
+  private static final long MILLI = Agenda.MILLI;
+  private static final long SECOND = Agenda.SECOND;
+
+  private static final Fabric.Latency LATENCY = new Fabric.Latency(110, 320, 700, 1_300, 0.2);
+  private static final Fabric.Buffers BUFFERS =
+      new Fabric.Buffers(64 * 1024, 64 * 1024, 100_000_000);
+
+  /** Clients come from here on. */
+  private static final long FIRST_CLIENT = SECOND;
+
+  /** Numbers of extra clients begin here, so that bursts do not shift the usual ones. */
+  private static final int EXTRA = 100_000;
+
+  private static final int MOST_ATTEMPTS = 4;
+
+  /** Share of all groups that a host holds connections of, by and large. */
+  private static final double GROUPS_HELD = 0.4;
+
+  /** A host that is asked for less of what it can do has room for more. */
+  private static final double ROOM = 0.5;
+
+  /** Makes the site's proxies. */
+  public interface Cast {
+    /** The proxy of this name, rank and machine; it is not started yet. */
+    Instance proxy(World world, String name, int rank, Machine machine);
+  }
+
+  /**
+   * What is the stage's own and not the plan's.
+   *
+   * @param epochMillis Unix time at the beginning
+   * @param slack what each time limit of the rules is extended by, in microseconds
+   */
+  public record House(Addresses addresses, long epochMillis, long slack) {
+    /** In virtual time. */
+    static final House VIRTUAL = new House(Addresses.OWN, World.EPOCH_MILLIS, Truth.SOCKETS);
+  }
+
+  private final Plan plan;
+  private final House house;
+  private final Agenda agenda = new Agenda();
+  private final Trace trace = new Trace(agenda);
+  private final Draws draws;
+  private final World world;
+  private final Map<String, Instance> proxies = new LinkedHashMap<>();
+  private final List<Program> homes = new ArrayList<>();
+  private final Checks checks;
+  private final Stage stage;
+  private final Service service = new Service();
+  private int extra = EXTRA;
+
+  public Scene(Plan plan, House house, Cast cast) {
+    this.plan = plan;
+    this.house = house;
+    draws = new Draws(plan.seed());
+    Site site = site(plan);
+    Fabric fabric = new Fabric(agenda, draws, LATENCY, BUFFERS);
+    world = new World(agenda, draws, fabric, trace, site, house.addresses(), house.epochMillis());
+    build(site, cast);
+    checks =
+        new Checks(
+            Checks.all(
+                new Checks.Figures(
+                    site.answerSlack(),
+                    site.drainGrace(),
+                    MOST_ATTEMPTS,
+                    site.hosts(),
+                    Plan.RECOVERY_MILLIS * MILLI,
+                    plan.sockets() < Plan.USUAL_SOCKETS,
+                    demand(site))),
+            new Known());
+    trace.listen(checks);
+    trace.listen(service);
+    stage = new Stage(world, proxies, new Coming());
+  }
+
+  /** The figures of a plan's deployment. */
+  public static Site site(Plan plan) {
+    return Site.standard(plan.proxies(), plan.hosts(), plan.rate(), plan.sockets());
+  }
+
+  private double demand(Site site) {
+    double can = world.hosts().values().stream().mapToDouble(StreamHost::capacity).sum();
+    double groups = site.groupCost() * site.groups() * site.hosts() * GROUPS_HELD;
+    return (site.rate() * Client.meanLoadSeconds(site) + groups) / can;
+  }
+
+  public Plan plan() {
+    return plan;
+  }
+
+  public Agenda agenda() {
+    return agenda;
+  }
+
+  public World world() {
+    return world;
+  }
+
+  /** To be listened to before {@link #begin}. */
+  public Trace trace() {
+    return trace;
+  }
+
+  public Checks checks() {
+    return checks;
+  }
+
+  public Service service() {
+    return service;
+  }
+
+  /** When the last thing of the plan happens, in microseconds. */
+  public long end() {
+    return plan.seconds() * SECOND;
+  }
+
+  /** Starts everybody and enters all that is to happen. */
+  public void begin() {
+    world.hosts().values().forEach(host -> host.start(true));
+    world.discovery().start();
+    proxies.values().forEach(proxy -> proxy.start(true));
+    arrivals();
+    plan.faults().forEach(this::enter);
+    agenda.at(
+        Math.max(plan.faultsOverMillis() * MILLI, FIRST_CLIENT),
+        () -> world.tell(new Event.AllFaultsOver()));
+    look();
+  }
+
+  private void build(Site site, Cast cast) {
+    Draws.Stream models = draws.of("models");
+    List<String> zones = site.zones();
+    double[] shares = site.kinds().stream().mapToDouble(Site.HostKind::share).toArray();
+    for (int i = 0; i < site.hosts(); i++) {
+      String name = "s-" + (i + 1);
+      Machine machine = world.machine(name, zones.get(i % zones.size()), 1, i + 1);
+      Site.HostKind kind = site.kinds().get(models.pick(shares));
+      world.hosts().put(name, new StreamHost(world, name, machine, kind));
+    }
+    world.discovery(
+        new Discovery(
+            world,
+            List.of(
+                world.machine("discovery-1", zones.get(0), 2, 1),
+                world.machine("discovery-2", zones.get(0), 2, 2))));
+    world.front(new Front(world));
+    for (int i = 0; i < site.proxies(); i++) {
+      String name = "n" + i;
+      Machine machine = world.machine(name, zones.get(i % zones.size()), 0, i + 1);
+      proxies.put(name, cast.proxy(world, name, i, machine));
+    }
+    for (int i = 0; i < zones.size(); i++) {
+      Machine machine = world.machine("clients-" + zones.get(i), zones.get(i), 4, i + 1);
+      homes.add(new Program(machine, machine.name(), 0, Integer.MAX_VALUE));
+    }
+  }
+
+  private void look() {
+    checks.look(agenda.now());
+    agenda.after(Checks.EVERY, this::look);
+  }
+
+  private void enter(Fault fault) {
+    agenda.at(
+        fault.atMillis() * MILLI,
+        () -> {
+          world.tell(new Event.FaultBegan(fault.toString()));
+          fault.kind().begin().to(stage, fault);
+        });
+    agenda.at(
+        fault.untilMillis() * MILLI,
+        () -> {
+          fault.kind().end().to(stage, fault);
+          world.tell(new Event.FaultEnded(fault.toString()));
+        });
+  }
+
+  /** The usual clients, each by its number, whoever of them comes. */
+  private void arrivals() {
+    Draws.Stream stream = draws.of("arrivals");
+    double at = FIRST_CLIENT;
+    for (int number = 0; at < plan.seconds() * SECOND; number++) {
+      Program home = stream.pick(homes);
+      if (plan.clients().contains(number)) {
+        come((long) at, home, number);
+      }
+      at += stream.exponential(SECOND / plan.rate());
+    }
+  }
+
+  private void come(long at, Program home, int number) {
+    agenda.at(at, () -> new Client(world, home.machine(), home, number).start());
+  }
+
+  /** Clients that faults bring. */
+  private final class Coming implements Stage.Crowd {
+    @Override
+    public void more(double rate, long millis) {
+      Draws.Stream stream = draws.of("burst " + agenda.now());
+      double at = agenda.now();
+      double until = at + millis * MILLI;
+      for (; at < until; at += stream.exponential(SECOND / rate)) {
+        come((long) at, stream.pick(homes), extra++);
+      }
+    }
+
+    @Override
+    public void bad(BadClient.Kind kind, double rate, long millis) {
+      Draws.Stream stream = draws.of("bad " + kind + agenda.now());
+      double at = agenda.now();
+      double until = at + millis * MILLI;
+      for (int i = 0; at < until; i++) {
+        Program home = stream.pick(homes);
+        int number = i;
+        agenda.at(
+            (long) at, () -> new BadClient(world, kind, home.machine(), home, number).start());
+        at += stream.exponential(SECOND / rate);
+      }
+    }
+  }
+
+  /** What the rules may know and the proxies do not. */
+  private final class Known implements Truth {
+    @Override
+    public long slack() {
+      return house.slack();
+    }
+
+    @Override
+    public long clientCalmSince(String flow) {
+      return world.flows().clientCalmSince(flow);
+    }
+
+    @Override
+    public long hostCalmSince(String flow) {
+      return world.flows().hostCalmSince(flow);
+    }
+
+    @Override
+    public long proxyCalmSince(String proxy) {
+      Instance node = proxies.get(proxy);
+      return node == null ? 0 : node.pausedUntil();
+    }
+
+    @Override
+    public long discoverySoundSince(String proxy) {
+      return world.discovery().soundSince(proxies.get(proxy).machine());
+    }
+
+    @Override
+    public int descriptors(String proxy) {
+      return proxies.get(proxy).descriptors();
+    }
+
+    @Override
+    public int descriptorLimit(String proxy) {
+      return plan.sockets();
+    }
+
+    @Override
+    public double fleetLoad() {
+      double asked = 0;
+      double can = 0;
+      for (StreamHost host : world.hosts().values()) {
+        if (host.serving()) {
+          asked += host.asked() * host.capacityNow();
+          can += host.capacityNow();
+        }
+      }
+      return can == 0 ? 1 : asked / can;
+    }
+
+    @Override
+    public List<String> hostsToUse(long forMicros) {
+      return world.hosts().values().stream()
+          .filter(host -> host.serving() && agenda.now() - host.since() >= forMicros)
+          .filter(host -> host.asked() < ROOM)
+          .filter(
+              host ->
+                  proxies.values().stream()
+                      .anyMatch(proxy -> proxy.machine().zone().equals(host.machine().zone())))
+          .map(StreamHost::name)
+          .toList();
+    }
+  }
+}
--- a/src/main/java/brassbank/sim/Service.java
+++ b/src/main/java/brassbank/sim/Service.java
@@ -50,7 +50,7 @@
   }
 
   /** Counts those who still stand or wait. */
-  void end(long now) {
+  public void end(long now) {
     standing.values().forEach(since -> served += now - since);
     wanting.values().forEach(since -> waited += now - since);
   }
--- a/src/main/java/brassbank/sim/actor/Discovery.java
+++ b/src/main/java/brassbank/sim/actor/Discovery.java
@@ -65,7 +65,14 @@
   }
 
   /** A change, as one line of a watch tells it. */
-  private record Change(long index, String host, String status, long since, String entry) {}
+  private record Change(
+      long index, StreamHost of, String host, String status, long since, String rest) {
+
+    /** As the proxy of this name is told it. */
+    String entry(String proxy) {
+      return "{\"name\":\"" + host + "\",\"address\":\"" + of.address(proxy) + rest;
+    }
+  }
 
   private final World world;
   private final List<Machine> addresses;
@@ -93,9 +100,8 @@
   }
 
   /** Where it is now, and where it would be after so many moves. */
-  public String address(int moves) {
-    Machine machine = addresses.get((at + moves) % addresses.size());
-    return machine.address().getHostAddress() + ":" + PORT;
+  public String address(String proxy, int moves) {
+    return world.addresses().of(proxy, addresses.get((at + moves) % addresses.size()), PORT);
   }
 
   public Machine machine() {
@@ -225,13 +231,9 @@
 
   private Change change(StreamHost host, String status) {
     index++;
-    long millis = host.since() == 0 ? 0 : World.EPOCH_MILLIS + host.since() / MILLI;
-    String entry =
-        "{\"name\":\""
-            + host.name()
-            + "\",\"address\":\""
-            + host.address()
-            + "\",\"zone\":\""
+    long millis = host.since() == 0 ? 0 : world.unixMillis(host.since());
+    String rest =
+        "\",\"zone\":\""
             + host.machine().zone()
             + "\",\"type\":\""
             + host.kind().name()
@@ -242,21 +244,21 @@
             + ",\"since_ms\":"
             + millis
             + "}";
-    return new Change(index, host.name(), status, host.since(), entry);
+    return new Change(index, host, host.name(), status, host.since(), rest);
   }
 
-  /** The whole list in its own form, as it stands now. */
-  public String list() {
-    return object(index, true, List.copyOf(list.values()));
+  /** The whole list in its own form, as it stands now and as this proxy is told it. */
+  public String list(String proxy) {
+    return object(proxy, index, true, List.copyOf(list.values()));
   }
 
-  private static String object(long index, boolean whole, List<Change> changes) {
+  private static String object(String proxy, long index, boolean whole, List<Change> changes) {
     StringBuilder text = new StringBuilder();
     text.append("{\"index\":").append(index).append(",\"snapshot\":").append(whole);
     text.append(",\"endpoints\":[");
     String between = "";
     for (Change change : changes) {
-      text.append(between).append(change.entry());
+      text.append(between).append(change.entry(proxy));
       between = ",";
     }
     return text.append("]}").toString();
@@ -379,7 +381,7 @@
         end();
         return;
       }
-      String text = manner == Manner.GARBAGE ? "{\"index\":" + index + ",\"end" : list();
+      String text = manner == Manner.GARBAGE ? "{\"index\":" + index + ",\"end" : list(proxy);
       lines.send(
           "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: "
               + text.length()
@@ -417,7 +419,7 @@
       watching = true;
       lines.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n");
       if (since < FIRST_INDEX || since > index) {
-        chunk(list());
+        chunk(list(proxy));
         tellAll();
         toldIndex = index;
       } else {
@@ -437,7 +439,7 @@
       if (changes.isEmpty() && !first) {
         return;
       }
-      String text = object(index, false, changes);
+      String text = object(proxy, index, false, changes);
       if (manner == Manner.GARBAGE) {
         chunk(text.substring(0, text.length() / 2));
         return;
--- a/src/main/java/brassbank/sim/actor/StreamHost.java
+++ b/src/main/java/brassbank/sim/actor/StreamHost.java
@@ -185,8 +185,9 @@
     return kind;
   }
 
-  public String address() {
-    return machine.address().getHostAddress() + ":" + PORT;
+  /** As the proxy of this name is told it. */
+  String address(String proxy) {
+    return world.addresses().of(proxy, machine, PORT);
   }
 
   /** Connections of mean load that it serves well once it is warm. */
--- a/src/main/java/brassbank/sim/actor/World.java
+++ b/src/main/java/brassbank/sim/actor/World.java
@@ -13,7 +13,7 @@
 
 /** What all actors of one run share: time, chance, the network, the trace, and each other. */
 public final class World {
-  /** Unix time at the beginning of each run: 2026-01-01T00:00:00Z. */
+  /** Unix time at the beginning of a run in virtual time: 2026-01-01T00:00:00Z. */
   public static final long EPOCH_MILLIS = 1_767_225_600_000L;
 
   private final Agenda agenda;
@@ -21,17 +21,44 @@
   private final Fabric fabric;
   private final Trace trace;
   private final Site site;
+  private final Addresses addresses;
+  private final long epochMillis;
   private final Flows flows = new Flows();
   private final Map<String, StreamHost> hosts = new LinkedHashMap<>();
   private Discovery discovery;
   private Front front;
 
-  public World(Agenda agenda, Draws draws, Fabric fabric, Trace trace, Site site) {
+  /**
+   * @param epochMillis Unix time at the beginning of the run
+   */
+  public World(
+      Agenda agenda,
+      Draws draws,
+      Fabric fabric,
+      Trace trace,
+      Site site,
+      Addresses addresses,
+      long epochMillis) {
     this.agenda = agenda;
     this.draws = draws;
     this.fabric = fabric;
     this.trace = trace;
     this.site = site;
+    this.addresses = addresses;
+    this.epochMillis = epochMillis;
+  }
+
+  /** Unix time now, by the clock that every machine reads. */
+  public long unixMillis(long micros) {
+    return epochMillis + micros / Agenda.MILLI;
+  }
+
+  public long epochMillis() {
+    return epochMillis;
+  }
+
+  Addresses addresses() {
+    return addresses;
   }
 
   public Agenda agenda() {
--- a/src/main/java/brassbank/sim/check/AnsweredAtOnce.java
+++ b/src/main/java/brassbank/sim/check/AnsweredAtOnce.java
@@ -68,7 +68,7 @@
                   Math.max(
                       truth.proxyCalmSince(given.proxy()),
                       Math.max(truth.clientCalmSince(flow), truth.hostCalmSince(flow))));
-          if (now > from + SOCKETS + WAYS) {
+          if (now > from + truth.slack() + WAYS) {
             broken(now, flow + " has failed " + attempts.get(flow) + " times and waits");
           }
         });
--- a/src/main/java/brassbank/sim/check/BadClients.java
+++ b/src/main/java/brassbank/sim/check/BadClients.java
@@ -41,7 +41,7 @@
               Math.max(
                   bad.since(),
                   Math.max(truth.clientCalmSince(client), truth.proxyCalmSince(bad.proxy())));
-          if (now - from > bad.within() + SOCKETS) {
+          if (now - from > bad.within() + truth.slack()) {
             broken(now, client + " (" + bad.kind() + ") has had neither an answer nor an end");
           }
         });
--- a/src/main/java/brassbank/sim/check/DrainsKept.java
+++ b/src/main/java/brassbank/sim/check/DrainsKept.java
@@ -57,7 +57,7 @@
 
   private void judge(long now, Event.AttemptArrived arrived) {
     Long told = toldAt.get(new Pair(arrived.proxy(), arrived.host()));
-    if (told != null && arrived.firstByteAt() > told + figures.drainGrace() + SOCKETS) {
+    if (told != null && arrived.firstByteAt() > told + figures.drainGrace() + truth.slack()) {
       long late = (arrived.firstByteAt() - told) / MILLI;
       broken(
           now,
--- a/src/main/java/brassbank/sim/check/EndsPassedOn.java
+++ b/src/main/java/brassbank/sim/check/EndsPassedOn.java
@@ -65,7 +65,7 @@
               Math.max(
                   Math.max(Math.max(at, servedAt.get(flow)), truth.proxyCalmSince(open.get(flow))),
                   Math.max(truth.clientCalmSince(flow), truth.hostCalmSince(flow)));
-          if (now - from > WITHIN + SOCKETS) {
+          if (now - from > WITHIN + truth.slack()) {
             broken(now, flow + " was ended by its host at " + at / 1e6 + " s and still stands");
           }
         });
--- a/src/main/java/brassbank/sim/check/LinesIntact.java
+++ b/src/main/java/brassbank/sim/check/LinesIntact.java
@@ -102,7 +102,7 @@
         Math.max(
             Math.max(line.sentAt(), truth.proxyCalmSince(proxies.getOrDefault(flow, ""))),
             Math.max(truth.clientCalmSince(flow), truth.hostCalmSince(flow)));
-    if (now - from > LONGEST_HELD + SOCKETS) {
+    if (now - from > LONGEST_HELD + truth.slack()) {
       broken(
           now,
           flow + ": '" + shown(line.text()) + "' was held for " + (now - from) / MILLI + " ms");
@@ -117,7 +117,7 @@
   void look(long now) {
     ways.forEach(
         (way, lines) -> {
-          if (now - lines.peek().sentAt() > LONGEST_HELD + SOCKETS) {
+          if (now - lines.peek().sentAt() > LONGEST_HELD + truth.slack()) {
             held(now, way.flow(), lines.peek());
           }
         });
--- a/src/main/java/brassbank/sim/check/OneAnswer.java
+++ b/src/main/java/brassbank/sim/check/OneAnswer.java
@@ -32,7 +32,7 @@
     long from =
         Math.max(
             owes.takenAt, Math.max(truth.clientCalmSince(flow), truth.proxyCalmSince(owes.proxy)));
-    return from + owes.deadline * MILLI + figures.answerSlack() + SOCKETS;
+    return from + owes.deadline * MILLI + figures.answerSlack() + truth.slack();
   }
 
   @Override
--- a/src/main/java/brassbank/sim/check/Rule.java
+++ b/src/main/java/brassbank/sim/check/Rule.java
@@ -7,9 +7,6 @@
   static final long MILLI = 1_000;
   static final long SECOND = 1_000_000;
 
-  /** PROTOCOL, The rules on sockets: each time limit is extended by this. */
-  static final long SOCKETS = 50 * MILLI;
-
   private final String name;
   private Checks checks;
   Truth truth;
--- a/src/main/java/brassbank/sim/check/SilenceNoticed.java
+++ b/src/main/java/brassbank/sim/check/SilenceNoticed.java
@@ -61,7 +61,7 @@
               Math.max(
                   standing.askedAt,
                   Math.max(truth.clientCalmSince(flow), truth.proxyCalmSince(standing.proxy)));
-          if (now - from > WITHIN + SOCKETS) {
+          if (now - from > WITHIN + truth.slack()) {
             broken(now, flow + " has heard nothing since " + standing.askedAt / 1e6 + " s");
           }
         });
--- a/src/main/java/brassbank/sim/check/StandbyEmpty.java
+++ b/src/main/java/brassbank/sim/check/StandbyEmpty.java
@@ -58,7 +58,7 @@
         continue;
       }
       long calm = Math.max(truth.clientCalmSince(flow), truth.proxyCalmSince(proxy));
-      if (now - Math.max(since, calm) > WITHIN + SOCKETS) {
+      if (now - Math.max(since, calm) > WITHIN + truth.slack()) {
         broken(now, flow + " is held by " + proxy + ", on standby since " + since / 1e6 + " s");
       }
     }
--- a/src/main/java/brassbank/sim/check/Truth.java
+++ b/src/main/java/brassbank/sim/check/Truth.java
@@ -4,6 +4,17 @@
 
 /** What no proxy can know and the rules must, to blame no one for what the network did. */
 public interface Truth {
+  /** PROTOCOL, The rules on sockets: each time limit is extended by this. */
+  long SOCKETS = 50_000;
+
+  /**
+   * What each time limit is extended by here; more than the protocol's on a machine that others
+   * use.
+   */
+  default long slack() {
+    return SOCKETS;
+  }
+
   /** Since when neither the network nor the client has held up the client's connection. */
   long clientCalmSince(String flow);
 
--- a/src/main/java/brassbank/sim/fault/Kinds.java
+++ b/src/main/java/brassbank/sim/fault/Kinds.java
@@ -2,10 +2,10 @@
 
 import brassbank.sim.actor.BadClient;
 import brassbank.sim.actor.Discovery;
+import brassbank.sim.actor.Instance;
 import brassbank.sim.actor.StreamHost;
 import brassbank.sim.net.Disturbance;
 import brassbank.sim.net.Machine;
-import brassbank.sim.proxy.ProxyNode;
 import brassbank.sim.time.Draws;
 import java.util.ArrayList;
 import java.util.List;
@@ -570,7 +570,7 @@
             1,
             (stage, fault) -> {
               long at = 0;
-              for (ProxyNode proxy : stage.proxies()) {
+              for (Instance proxy : stage.proxies()) {
                 stage.world().agenda().after(at, proxy::restart);
                 at += (long) (fault.size() * 1_000_000);
               }
--- a/src/main/java/brassbank/sim/fault/Stage.java
+++ b/src/main/java/brassbank/sim/fault/Stage.java
@@ -1,10 +1,10 @@
 package brassbank.sim.fault;
 
 import brassbank.sim.actor.BadClient;
+import brassbank.sim.actor.Instance;
 import brassbank.sim.actor.StreamHost;
 import brassbank.sim.actor.World;
 import brassbank.sim.net.Disturbance;
-import brassbank.sim.proxy.ProxyNode;
 import java.util.ArrayDeque;
 import java.util.Collection;
 import java.util.Deque;
@@ -23,11 +23,11 @@
   }
 
   private final World world;
-  private final Map<String, ProxyNode> proxies;
+  private final Map<String, Instance> proxies;
   private final Crowd crowd;
   private final Map<Fault, Deque<Disturbance>> disturbances = new HashMap<>();
 
-  public Stage(World world, Map<String, ProxyNode> proxies, Crowd crowd) {
+  public Stage(World world, Map<String, Instance> proxies, Crowd crowd) {
     this.world = world;
     this.proxies = proxies;
     this.crowd = crowd;
@@ -49,11 +49,11 @@
     return world.hosts().values();
   }
 
-  ProxyNode proxy(Fault fault) {
+  Instance proxy(Fault fault) {
     return proxies.get(fault.target());
   }
 
-  Collection<ProxyNode> proxies() {
+  Collection<Instance> proxies() {
     return proxies.values();
   }
 
--- a/src/main/java/brassbank/sim/proxy/ProxyNode.java
+++ b/src/main/java/brassbank/sim/proxy/ProxyNode.java
@@ -7,6 +7,7 @@
 import brassbank.handover.Succession;
 import brassbank.net.Network;
 import brassbank.proxy.Proxy;
+import brassbank.sim.actor.Instance;
 import brassbank.sim.actor.Site;
 import brassbank.sim.actor.World;
 import brassbank.sim.event.Event;
@@ -28,7 +29,7 @@
  * planned, told to read its configuration again. What runs in it is the program's own {@link
  * Proxy}.
  */
-public final class ProxyNode {
+public final class ProxyNode implements Instance {
   private static final int PORT = 7070;
   private static final long MILLI = Agenda.MILLI;
 
@@ -107,10 +108,12 @@
     this.stream = world.draws().of("proxy " + name);
   }
 
+  @Override
   public String name() {
     return name;
   }
 
+  @Override
   public Machine machine() {
     return machine;
   }
@@ -127,13 +130,13 @@
 
   // ------------------------------------------------------------------- life
 
-  /** Starts its process from nothing; {@code at once} leaves its boot time out. */
+  @Override
   public void start(boolean atOnce) {
     if (program != null && program.alive()) {
       return;
     }
     if (known == null) {
-      known = world.discovery().list();
+      known = world.discovery().list(name);
     }
     world.discovery().knows(name, true);
     stopping = false;
@@ -143,7 +146,7 @@
     }
     process = new Process();
     program = process.program;
-    clock = new SimClock(world.agenda(), stream.bits() >>> 8, World.EPOCH_MILLIS);
+    clock = new SimClock(world.agenda(), stream.bits() >>> 8, world.epochMillis());
     world.tell(new Event.ProxyStarted(name));
     program.later(atOnce ? 0 : stream.micros(BOOT_LEAST, BOOT_MOST), process::serve);
     world.front().started(name, machine, address);
@@ -174,7 +177,7 @@
     }
   }
 
-  /** Descriptors that its processes hold together. */
+  @Override
   public int descriptors() {
     return processes.stream()
         .filter(one -> one.program.alive())
@@ -278,6 +281,7 @@
    * The platform starts a process beside the one that serves; once it has said yes, the old one
    * gets SIGTERM, and SIGKILL when its time is over. One that says no for too long is killed.
    */
+  @Override
   public void upgrade() {
     if (sockets < SOCKETS_FOR_TWO) {
       return;
@@ -340,13 +344,13 @@
         rank,
         machine.zone(),
         machine.address().getHostAddress() + ":" + PORT,
-        world.discovery().address(further),
+        world.discovery().address(name, further),
         stream.bits(),
         sockets,
         known);
   }
 
-  /** Kills it outright; it comes again after so many microseconds. */
+  @Override
   public void crash(long downFor) {
     if (program != null && program.alive()) {
       end();
@@ -358,14 +362,14 @@
     world.agenda().after(downFor, () -> start(false));
   }
 
-  /** Its machine loses its power for so long. */
+  @Override
   public void darken(long downFor) {
     machine.darken();
     crash(downFor);
     world.agenda().after(downFor, machine::lighten);
   }
 
-  /** SIGTERM, SIGKILL when its time is over, and a new start. */
+  @Override
   public void restart() {
     if (!serving()) {
       return;
@@ -384,7 +388,7 @@
         });
   }
 
-  /** Operators have its clients sent away, and call it back after so many microseconds. */
+  @Override
   public void standby(long awayFor) {
     if (!serving()) {
       return;
@@ -428,11 +432,11 @@
   }
 
   private void end() {
-    known = world.discovery().list();
+    known = world.discovery().list(name);
     stopping = true;
   }
 
-  /** SIGHUP, with this many further addresses of discovery in the new file. */
+  @Override
   public void hangUp(int further) {
     if (serving()) {
       world.tell(new Event.ProxyHungUp(name, further > 0));
@@ -448,14 +452,14 @@
     }
   }
 
-  /** Steps its machine's wall clock. */
+  @Override
   public void stepClock(long millis) {
     if (clock != null) {
       clock.step(millis);
     }
   }
 
-  /** Nothing of it runs for a while, as when its runtime collects garbage. */
+  @Override
   public void pause(long micros) {
     if (program != null) {
       pausedUntil = Math.max(pausedUntil, world.now() + micros);
@@ -463,7 +467,7 @@
     }
   }
 
-  /** Until when nothing of it runs, or did not run. */
+  @Override
   public long pausedUntil() {
     return pausedUntil;
   }
