Fleet lab: real proxies among the simulation's actors, faults and rules

The simulated network is turned by the clock; a proxy's machine in it passes on, connection by connection, what its process and the others say. Doors refuse, accept or stay silent as the simulated network would. A guard kills what is left when the lab dies. A play in which the lab was late by more than 50 ms is void.

--- a/src/main/java/brassbank/Commands.java
+++ b/src/main/java/brassbank/Commands.java
@@ -1,5 +1,6 @@
 package brassbank;
 
+import brassbank.lab.LabCommand;
 import brassbank.load.LoadCommand;
 import brassbank.sim.cli.SimulateCommand;
 import java.util.List;
@@ -20,6 +21,7 @@
         new CheckCommand(),
         new DrillCommand(),
         new LoadCommand(),
-        new SimulateCommand());
+        new SimulateCommand(),
+        new LabCommand());
   }
 }
--- a/src/main/java/brassbank/cli/Exit.java
+++ b/src/main/java/brassbank/cli/Exit.java
@@ -9,6 +9,9 @@
   public static final int FAILED = 1;
   public static final int USAGE = 2;
 
+  /** Of the fleet lab alone. */
+  public static final int VOID = 3;
+
   private Exit() {}
 
   /** What the help of each command says of them. */
--- /dev/null
+++ b/src/main/java/brassbank/lab/BreachLog.java
@@ -0,0 +1,48 @@
+package brassbank.lab;
+
+import brassbank.sim.check.Breach;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** The lines of the proxies' logs that belong to a breach: of whom it names, about its time. */
+final class BreachLog {
+  private static final Pattern PROXY = Pattern.compile("\\bn\\d+\\b");
+  private static final Pattern FLOW = Pattern.compile("\\bc\\d+\\.\\d+\\b");
+  private static final long BEFORE = 3_000_000;
+  private static final long AFTER = 500_000;
+  private static final int MOST = 40;
+
+  private BreachLog() {}
+
+  static List<String> lines(Breach breach, Collection<Lab.LogLine> all, Tally tally) {
+    Set<String> proxies = new TreeSet<>();
+    Matcher named = PROXY.matcher(breach.what());
+    while (named.find()) {
+      proxies.add(named.group());
+    }
+    Matcher flow = FLOW.matcher(breach.what());
+    while (flow.find()) {
+      String proxy = tally.proxy(flow.group());
+      if (proxy != null) {
+        proxies.add(proxy);
+      }
+    }
+    List<String> lines = new ArrayList<>();
+    for (Lab.LogLine line : all) {
+      if ((proxies.isEmpty() || proxies.contains(line.proxy()))
+          && line.at() >= breach.at() - BEFORE
+          && line.at() <= breach.at() + AFTER) {
+        lines.add(
+            String.format(
+                Locale.ROOT, "%11.6f %s %s", Lab.seconds(line.at()), line.proxy(), line.text()));
+      }
+    }
+    return lines.subList(Math.max(0, lines.size() - MOST), lines.size());
+  }
+}
--- /dev/null
+++ b/src/main/java/brassbank/lab/LabCommand.java
@@ -0,0 +1,165 @@
+package brassbank.lab;
+
+import brassbank.cli.Exit;
+import brassbank.cli.UsageException;
+import brassbank.sim.fault.Night;
+import brassbank.sim.fault.Plan;
+import brassbank.sim.fault.Script;
+import brassbank.sim.fault.ScriptException;
+import java.io.File;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** A whole site on loopback: real proxies, and everything else of the site in this process. */
+@Command(
+    name = "lab",
+    description = "Play a script or a night on real processes on loopback, under all rules.",
+    footer = {
+      "",
+      "Examples:",
+      "  brassbank lab example/fleet-day.toml",
+      "  brassbank lab --night ZONE --seed 7 --logs logs",
+      "  brassbank lab --seed 77 --proxies 5 --trace | less"
+    })
+public final class LabCommand implements Callable<Integer> {
+  private static final int MOST_PROXIES = 64;
+
+  @Parameters(
+      arity = "0..1",
+      paramLabel = "SCRIPT",
+      description = "A script as simulate has it; else the faults are drawn from the seed.")
+  private Path script;
+
+  @Option(
+      names = "--night",
+      paramLabel = "KIND",
+      description = "A night of a large fleet: ${COMPLETION-CANDIDATES}.")
+  private Night night;
+
+  @Option(
+      names = "--seed",
+      paramLabel = "SEED",
+      defaultValue = "1",
+      description = "What all is drawn from (default: ${DEFAULT-VALUE}).")
+  private long seed;
+
+  @Option(
+      names = "--seconds",
+      paramLabel = "N",
+      defaultValue = "" + Plan.SECONDS,
+      description = "Seconds of the play (default: ${DEFAULT-VALUE}).")
+  private int seconds;
+
+  @Option(names = "--proxies", paramLabel = "N", description = "Proxies, each a process.")
+  private Integer proxies;
+
+  @Option(names = "--hosts", paramLabel = "N", description = "Stream hosts.")
+  private Integer hosts;
+
+  @Option(names = "--rate", paramLabel = "N", description = "New clients a second.")
+  private Double rate;
+
+  @Option(
+      names = "--logs",
+      paramLabel = "DIR",
+      description = "Where the proxies' logs are kept; else they go with the lab.")
+  private Path logs;
+
+  @Option(names = "--trace", description = "Print every event, and what the proxies log.")
+  private boolean trace;
+
+  @Option(names = "--json", description = "Print the result as JSON.")
+  private boolean json;
+
+  @Option(
+      names = "--keep",
+      description = "Leave a site that broke a rule standing until Ctrl-C, to look at it.")
+  private boolean keep;
+
+  private final PrintStream output = System.out;
+  private final PrintStream notes = System.err;
+
+  @Override
+  public Integer call() throws IOException {
+    Plan plan = plan();
+    for (int play = 1; ; play++) {
+      try (Lab lab = new Lab(plan, root(), logs)) {
+        if (trace) {
+          lab.withLogs();
+          lab.trace().listen((now, event) -> output.printf("%11.6f %s%n", now / 1e6, event.text()));
+        }
+        Lab.Outcome outcome = lab.play(new LiveLine(notes));
+        if (outcome.tooLate() && play == 1) {
+          notes.printf(
+              "void: %s was %.0f ms late, %.0f are allowed; it is played again%n",
+              outcome.lateWho(), outcome.late() / 1e3, Lab.LATENESS / 1e3);
+          continue;
+        }
+        output.println(json ? Report.json(outcome) : Report.text(outcome));
+        if (keep && !outcome.sound()) {
+          notes.println(Report.standing(lab));
+          lab.stay();
+        }
+        return outcome.tooLate() ? Exit.VOID : outcome.sound() ? Exit.OK : Exit.FAILED;
+      } catch (LabException e) {
+        notes.println("lab: " + e.getMessage());
+        return Exit.FAILED;
+      }
+    }
+  }
+
+  private Plan plan() throws IOException {
+    require(script == null || night == null, "a script has its own faults: no --night with it");
+    if (script != null) {
+      require(
+          proxies == null && hosts == null && rate == null,
+          "a script says itself how many proxies, hosts and clients there are");
+      try {
+        Plan read = Script.read(script);
+        require(read.proxies() <= MOST_PROXIES, "a lab has at most " + MOST_PROXIES + " proxies");
+        return read;
+      } catch (ScriptException e) {
+        throw new UsageException(e.getMessage());
+      }
+    }
+    boolean large = night != null;
+    int proxyCount = proxies != null ? proxies : large ? Night.PROXIES : Plan.PROXIES;
+    int hostCount = hosts != null ? hosts : large ? Night.HOSTS : Plan.HOSTS;
+    double arrivals = rate != null ? rate : large ? Night.RATE : Plan.RATE;
+    require(
+        proxyCount >= 1 && proxyCount <= MOST_PROXIES,
+        "--proxies must be from 1 to " + MOST_PROXIES);
+    require(hostCount >= 1 && hostCount <= 250, "--hosts must be from 1 to 250");
+    require(arrivals > 0 && arrivals <= 1_000, "--rate must be above 0 and at most 1000");
+    require(seconds >= Plan.LEAST_SECONDS, "--seconds must be " + Plan.LEAST_SECONDS + " or more");
+    return large
+        ? night.plan(seed, seconds, proxyCount, hostCount, arrivals)
+        : Plan.drawn(seed, seconds, proxyCount, hostCount, arrivals).playable();
+  }
+
+  private static void require(boolean holds, String otherwise) {
+    if (!holds) {
+      throw new UsageException(otherwise);
+    }
+  }
+
+  /** The folder that this program was built in: {@code deploy/serve.sh} starts from there. */
+  static Path root() {
+    for (String entry : System.getProperty("java.class.path").split(File.pathSeparator)) {
+      for (Path folder = Path.of(entry).toAbsolutePath();
+          folder != null;
+          folder = folder.getParent()) {
+        if (Files.exists(folder.resolve("deploy/serve.sh"))) {
+          return folder;
+        }
+      }
+    }
+    throw new LabException("deploy/serve.sh is not there: the lab runs where it was built");
+  }
+}
--- /dev/null
+++ b/src/main/java/brassbank/lab/RealProxy.java
@@ -0,0 +1,623 @@
+package brassbank.lab;
+
+import brassbank.sim.actor.Instance;
+import brassbank.sim.actor.Site;
+import brassbank.sim.actor.World;
+import brassbank.sim.event.Event;
+import brassbank.sim.net.Endpoint;
+import brassbank.sim.net.Machine;
+import brassbank.sim.net.Port;
+import brassbank.sim.net.Program;
+import brassbank.sim.proxy.ProxyConfig;
+import brassbank.sim.time.Agenda;
+import brassbank.sim.time.Draws;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/**
+ * A proxy whose process the operating system runs. Its machine in the simulated network holds a
+ * stand-in that passes on, connection by connection, what comes for the process and what comes from
+ * it. The lives of the process follow the same times as in virtual time.
+ */
+final class RealProxy implements Instance {
+  private static final int PORT = 7_070;
+  private static final int BACKLOG = 1_024;
+  private static final long MILLI = Agenda.MILLI;
+
+  /** SIGKILL comes no earlier than this after SIGTERM, and may come later. */
+  private static final long KILL_LEAST = 3_700 * MILLI;
+
+  private static final long KILL_MOST = 4_200 * MILLI;
+  private static final long RESTART_LEAST = 200 * MILLI;
+  private static final long RESTART_MOST = 1_500 * MILLI;
+
+  /** DAYS, Upgrades: the new process has so long to say yes. */
+  private static final long YES_WITHIN_MILLIS = 6_000;
+
+  private static final long ASK_EVERY_MILLIS = 20;
+  private static final long START_WITHIN_MILLIS = 30_000;
+
+  /** What a process wrote before its end has passed the lab by then. */
+  private static final long LAST_WORDS = 50 * MILLI;
+
+  /** A signal takes this long at most, and the process to run again. */
+  private static final long SIGNAL = 10 * MILLI;
+
+  /** What all proxies of a lab share. */
+  record Lab(
+      Turner turner,
+      Helpers helpers,
+      Guard guard,
+      Loopback loopback,
+      Path root,
+      Path folder,
+      Path logs) {}
+
+  private final Lab lab;
+  private final World world;
+  private final Site told;
+  private final String name;
+  private final int rank;
+  private final Machine machine;
+  private final InetSocketAddress address;
+  private final Draws.Stream stream;
+  private final ByteBuffer scratch;
+  private final List<Door> doors = new ArrayList<>();
+  private final Set<Splice> splices = new LinkedHashSet<>();
+  private final List<ProxyProcess> processes = new ArrayList<>();
+  private final List<Path> logs = new ArrayList<>();
+  private final InheritedListener listener;
+
+  private ProxyProcess process;
+  private Program program;
+  private String known;
+  private boolean stopping;
+  private boolean listening;
+  private int started;
+  private long life;
+  private long pausedUntil;
+  private Agenda.Entry kill;
+  private volatile int descriptors;
+
+  RealProxy(
+      Lab lab,
+      World world,
+      Site told,
+      String name,
+      int rank,
+      Machine machine,
+      boolean inherits,
+      ByteBuffer scratch) {
+    this.lab = lab;
+    this.world = world;
+    this.told = told;
+    this.name = name;
+    this.rank = rank;
+    this.machine = machine;
+    this.scratch = scratch;
+    lab.loopback().rank(name, rank);
+    address = lab.loopback().address(name, machine);
+    stream = world.draws().of("proxy " + name);
+    try {
+      Files.createDirectories(folder().resolve("tmp"));
+      listener = inherits ? new InheritedListener(address) : null;
+    } catch (IOException e) {
+      throw new LabException("no place for " + name + ": " + e.getMessage(), e);
+    }
+  }
+
+  @Override
+  public String name() {
+    return name;
+  }
+
+  @Override
+  public Machine machine() {
+    return machine;
+  }
+
+  /** The files its processes have logged to, the oldest first. */
+  List<Path> logs() {
+    return logs;
+  }
+
+  /** Its processes that live. */
+  List<ProxyProcess> processes() {
+    return List.copyOf(processes);
+  }
+
+  /** Whether its process takes connections. */
+  boolean listening() {
+    return listening;
+  }
+
+  private Path folder() {
+    return lab.folder().resolve(name);
+  }
+
+  // ------------------------------------------------------------------- doors
+
+  /** It meets this machine at this port; to be said before its first start. */
+  void meets(Machine other, int port) {
+    Door[] door = new Door[1];
+    door[0] =
+        new Door(
+            lab.turner(),
+            world.fabric(),
+            machine,
+            other,
+            port,
+            lab.loopback().address(name, other),
+            channel -> opened(channel, door[0]));
+    doors.add(door[0]);
+  }
+
+  List<Door> doors() {
+    return doors;
+  }
+
+  /** The process has opened a connection. */
+  private void opened(SocketChannel channel, Door door) {
+    if (program == null || !program.alive()) {
+      Splice.reset(channel);
+      return;
+    }
+    program.connect(
+        new InetSocketAddress(door.to().address(), door.port()),
+        new Program.Connected() {
+          @Override
+          public void up(Endpoint endpoint) {
+            join(channel, endpoint);
+          }
+
+          @Override
+          public void failed(IOException cause) {
+            Splice.reset(channel);
+          }
+        });
+  }
+
+  private void join(SocketChannel channel, Endpoint endpoint) {
+    Splice splice = new Splice(channel, endpoint, scratch, splices::remove);
+    splices.add(splice);
+    splice.begin(lab.turner());
+  }
+
+  /** Somebody of the site has connected to the proxy. */
+  private void take(Port port) {
+    Endpoint endpoint = port.accept();
+    if (endpoint == null) {
+      return;
+    }
+    try {
+      SocketChannel channel = SocketChannel.open();
+      channel.configureBlocking(false);
+      if (channel.connect(address)) {
+        join(channel, endpoint);
+      } else {
+        lab.turner()
+            .register(channel, SelectionKey.OP_CONNECT, key -> connected(channel, endpoint, key));
+      }
+    } catch (IOException e) {
+      endpoint.reset();
+    }
+  }
+
+  private void connected(SocketChannel channel, Endpoint endpoint, SelectionKey key) {
+    try {
+      channel.finishConnect();
+      key.interestOps(0);
+      join(channel, endpoint);
+    } catch (IOException e) {
+      Splice.reset(channel);
+      endpoint.reset();
+    }
+  }
+
+  private void open() {
+    if (listening || program == null || !program.alive()) {
+      return;
+    }
+    listening = true;
+    Port[] port = new Port[1];
+    try {
+      port[0] = program.listen(PORT, BACKLOG, () -> take(port[0]));
+    } catch (IOException e) {
+      throw new LabException("the stand-in of " + name + " cannot listen", e);
+    }
+  }
+
+  // ------------------------------------------------------------------- lives
+
+  @Override
+  public void start(boolean atOnce) {
+    if (program != null && program.alive()) {
+      return;
+    }
+    if (known == null) {
+      known = world.discovery().list(name);
+    }
+    world.discovery().knows(name, true);
+    stopping = false;
+    listening = false;
+    program = new Program(machine, name, 0, Integer.MAX_VALUE).passingOn();
+    world.tell(new Event.ProxyStarted(name));
+    world.front().started(name, machine, new InetSocketAddress(machine.address(), PORT));
+    long now = ++life;
+    List<ProxyProcess> before = List.copyOf(processes);
+    spawn(
+        before,
+        next -> {
+          if (life != now) {
+            end(next);
+            return;
+          }
+          process = next;
+          lab.helpers()
+              .apart(
+                  () -> listens(next),
+                  up -> {
+                    if (life == now && up) {
+                      open();
+                    }
+                  },
+                  this::lost);
+        });
+  }
+
+  /** Writes the file and starts a process, once those before it have given their place free. */
+  private void spawn(List<ProxyProcess> before, Consumer<ProxyProcess> then) {
+    String text = config(0);
+    int number = ++started;
+    Path log = lab.logs().resolve(name + "-" + number + ".log");
+    logs.add(log);
+    InetSocketAddress management = lab.loopback().management(name, number);
+    Map<String, String> variables = new LinkedHashMap<>();
+    variables.put("LB_CONFIG", folder().resolve("config.json").toString());
+    variables.put(
+        "LB_MANAGEMENT", management.getAddress().getHostAddress() + ":" + management.getPort());
+    variables.put("TMPDIR", folder().resolve("tmp").toString());
+    lab.helpers()
+        .apart(
+            () -> {
+              for (ProxyProcess one : before) {
+                one.join();
+              }
+              write(text);
+              return ProxyProcess.start(number, lab.root(), log, variables, listener, lab.guard());
+            },
+            next -> {
+              processes.add(next);
+              next.whenEnded(() -> lab.turner().post(() -> ended(next)));
+              then.accept(next);
+            },
+            this::lost);
+  }
+
+  private boolean listens(ProxyProcess next) throws IOException {
+    for (long waited = 0; next.alive(); waited += ASK_EVERY_MILLIS) {
+      if (waited > START_WITHIN_MILLIS) {
+        throw new IOException("it does not listen");
+      }
+      if (listener == null
+          ? Call.listens(address)
+          : saysYes(lab.loopback().management(name, next.number()))) {
+        return true;
+      }
+      Helpers.pause(ASK_EVERY_MILLIS);
+    }
+    return false;
+  }
+
+  private static boolean saysYes(InetSocketAddress management) {
+    try {
+      return Call.yes(management, "GET", "/status");
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
+  private void lost(Exception cause) {
+    world.tell(new Event.ProxyFailed(name, "the lab could not go on with it: " + cause));
+  }
+
+  private String config(int further) {
+    return ProxyConfig.text(
+        told,
+        name,
+        rank,
+        machine.zone(),
+        address.getAddress().getHostAddress() + ":" + address.getPort(),
+        world.discovery().address(name, further),
+        stream.bits(),
+        world.site().sockets(),
+        known);
+  }
+
+  /** At once for whoever reads: the file is never seen half written. */
+  private void write(String text) throws IOException {
+    Path file = folder().resolve("config.json");
+    Path next = folder().resolve("config.json.next");
+    Files.writeString(next, text);
+    Files.move(next, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+  }
+
+  private void end(ProxyProcess one) {
+    one.expectEnd();
+    if (one.alive()) {
+      lab.guard().signal("KILL", one.pid());
+    }
+  }
+
+  /** A process has ended, by itself or not. */
+  private void ended(ProxyProcess one) {
+    processes.remove(one);
+    lab.guard().drop(one.pid());
+    if (one == process && listening && processes.isEmpty()) {
+      List.copyOf(splices).forEach(Splice::fromReal);
+    }
+    if (!one.endExpected()) {
+      world.tell(
+          new Event.ProxyFailed(
+              name, "process " + one.number() + " ended by itself, status " + one.exitStatus()));
+    }
+    if (one == process && stopping && kill != null && program.alive()) {
+      int status = one.exitStatus();
+      kill.cancel();
+      program.stopListening();
+      world.agenda().after(LAST_WORDS, () -> exited(status));
+    }
+  }
+
+  private void exited(int status) {
+    known = world.discovery().list(name);
+    kill = null;
+    program.exit();
+    life++;
+    world.tell(new Event.ProxyExited(name, status));
+    world.agenda().after(stream.micros(RESTART_LEAST, RESTART_MOST), () -> start(false));
+  }
+
+  private boolean serving() {
+    return listening && !stopping && process != null && process.alive();
+  }
+
+  // ------------------------------------------------------------------ faults
+
+  @Override
+  public void crash(long downFor) {
+    if (program != null && program.alive()) {
+      known = world.discovery().list(name);
+      stopping = true;
+      listening = false;
+      life++;
+      processes.forEach(this::end);
+      program.kill();
+      List.copyOf(splices).forEach(Splice::breakBoth);
+      world.front().died(name);
+      world.tell(new Event.ProxyKilled(name, false));
+    }
+    world.agenda().after(downFor, () -> start(false));
+  }
+
+  @Override
+  public void darken(long downFor) {
+    machine.darken();
+    crash(downFor);
+    world.agenda().after(downFor, machine::lighten);
+  }
+
+  @Override
+  public void restart() {
+    if (!serving()) {
+      return;
+    }
+    stopping = true;
+    ProxyProcess old = process;
+    old.expectEnd();
+    world.tell(new Event.ProxyTerminated(name));
+    world.front().stopping(name);
+    kill = world.agenda().after(stream.micros(KILL_LEAST, KILL_MOST), () -> overdue(old));
+    lab.guard().signal("TERM", old.pid());
+  }
+
+  private void overdue(ProxyProcess old) {
+    if (old.alive()) {
+      known = world.discovery().list(name);
+      kill = null;
+      life++;
+      end(old);
+      program.kill();
+      List.copyOf(splices).forEach(Splice::breakBoth);
+      world.tell(new Event.ProxyKilled(name, true));
+      world.agenda().after(stream.micros(RESTART_LEAST, RESTART_MOST), () -> start(false));
+    }
+  }
+
+  @Override
+  public void standby(long awayFor) {
+    if (!serving()) {
+      return;
+    }
+    ProxyProcess called = process;
+    InetSocketAddress management = lab.loopback().management(name, called.number());
+    world.tell(new Event.ProxyOnStandby(name));
+    world.front().stopping(name);
+    call(management, "/standby", () -> {});
+    world
+        .agenda()
+        .after(
+            awayFor,
+            () -> {
+              if (serving() && process == called) {
+                call(
+                    management,
+                    "/active",
+                    () -> {
+                      world.tell(new Event.ProxyCalledBack(name));
+                      world.front().calledBack(name);
+                    });
+              }
+            });
+  }
+
+  private void call(InetSocketAddress management, String path, Runnable then) {
+    lab.helpers()
+        .apart(
+            () -> Call.yes(management, "PUT", path),
+            yes -> {
+              if (yes) {
+                then.run();
+              } else {
+                world.tell(new Event.ProxyFailed(name, "PUT " + path + " was answered no"));
+              }
+            },
+            this::lost);
+  }
+
+  @Override
+  public void upgrade() {
+    if (listener == null || !serving() || processes.size() > 1) {
+      return;
+    }
+    ProxyProcess old = process;
+    long now = life;
+    spawn(
+        List.of(),
+        next ->
+            lab.helpers()
+                .apart(
+                    () -> upgraded(next),
+                    yes -> {
+                      if (life != now) {
+                        end(next);
+                      } else if (yes && old.alive()) {
+                        process = next;
+                        leave(old);
+                      } else {
+                        end(next);
+                      }
+                    },
+                    this::lost));
+  }
+
+  private boolean upgraded(ProxyProcess next) {
+    InetSocketAddress management = lab.loopback().management(name, next.number());
+    for (long waited = 0; next.alive() && waited < YES_WITHIN_MILLIS; ) {
+      if (saysYes(management)) {
+        return true;
+      }
+      Helpers.pause(ASK_EVERY_MILLIS);
+      waited += ASK_EVERY_MILLIS;
+    }
+    return false;
+  }
+
+  private void leave(ProxyProcess old) {
+    old.expectEnd();
+    lab.guard().signal("TERM", old.pid());
+    world
+        .agenda()
+        .after(
+            stream.micros(KILL_LEAST, KILL_MOST),
+            () -> {
+              if (old.alive()) {
+                end(old);
+                world.tell(new Event.ProxyKilled(name, true));
+              }
+            });
+  }
+
+  @Override
+  public void hangUp(int further) {
+    if (!serving()) {
+      return;
+    }
+    String text = config(further);
+    ProxyProcess asked = process;
+    lab.helpers()
+        .apart(
+            () -> {
+              write(text);
+              return true;
+            },
+            done -> {
+              if (asked.alive()) {
+                world.tell(new Event.ProxyHungUp(name, further > 0));
+                processes.forEach(one -> lab.guard().signal("HUP", one.pid()));
+              }
+            },
+            this::lost);
+  }
+
+  @Override
+  public void stepClock(long millis) {
+    throw new LabException("the clock of one process cannot be stepped on a machine of many");
+  }
+
+  @Override
+  public void pause(long micros) {
+    List<ProxyProcess> stopped = List.copyOf(processes);
+    if (stopped.isEmpty()) {
+      return;
+    }
+    long until = world.now() + micros;
+    pausedUntil = Math.max(pausedUntil, until + SIGNAL);
+    stopped.forEach(one -> lab.guard().signal("STOP", one.pid()));
+    world
+        .agenda()
+        .at(
+            until,
+            () -> {
+              if (world.now() + SIGNAL >= pausedUntil) {
+                stopped.stream()
+                    .filter(ProxyProcess::alive)
+                    .forEach(one -> lab.guard().signal("CONT", one.pid()));
+              }
+            });
+  }
+
+  @Override
+  public long pausedUntil() {
+    return pausedUntil;
+  }
+
+  @Override
+  public int descriptors() {
+    return descriptors;
+  }
+
+  /** What the system has counted; from any thread. */
+  void descriptors(int counted) {
+    descriptors = counted;
+  }
+
+  /** Ends what lives of it. */
+  void close() {
+    processes.forEach(this::end);
+    List.copyOf(splices).forEach(Splice::breakBoth);
+    try {
+      for (Door door : doors) {
+        door.close();
+      }
+      if (listener != null) {
+        listener.close();
+      }
+    } catch (IOException e) {
+      throw new LabException("a socket of " + name + " cannot be closed", e);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/brassbank/lab/Report.java
@@ -0,0 +1,140 @@
+package brassbank.lab;
+
+import brassbank.sim.check.Breach;
+import com.google.gson.GsonBuilder;
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import java.util.Locale;
+import java.util.Map;
+
+/** What a play has shown, for people and for programs. */
+final class Report {
+  private Report() {}
+
+  static String text(Lab.Outcome outcome) {
+    StringBuilder text = new StringBuilder();
+    outcome
+        .counts()
+        .forEach(
+            (rule, count) ->
+                text.append(String.format("%-48s %s%n", rule, count == 0 ? "holds" : count)));
+    text.append(
+        String.format(
+            "%n%-6s %7s %7s %8s %10s %6s %7s %9s %12s%n",
+            "proxy",
+            "flows",
+            "served",
+            "refused",
+            "unanswered",
+            "moved",
+            "cpu s",
+            "memory MB",
+            "descriptors"));
+    outcome
+        .uses()
+        .forEach(
+            (proxy, use) -> {
+              Tally.Count count = outcome.tallies().getOrDefault(proxy, new Tally.Count());
+              text.append(
+                  String.format(
+                      Locale.ROOT,
+                      "%-6s %7d %7d %8d %10d %6d %7.1f %9.1f %12d%n",
+                      proxy,
+                      count.sent,
+                      count.served,
+                      count.refused,
+                      count.unanswered(),
+                      count.moved,
+                      use.processorSeconds,
+                      use.mostResidentKib / 1024.0,
+                      use.mostDescriptors));
+            });
+    text.append(String.format("%n%s%n", outcome.service()));
+    if (!outcome.breaches().isEmpty()) {
+      Breach first = outcome.breaches().get(0);
+      text.append(String.format("%nfirst breach: %s%n", first));
+      outcome.breachLog().forEach(line -> text.append("  ").append(line).append('\n'));
+    }
+    text.append(
+        String.format(
+            Locale.ROOT,
+            "%nseed %d: %s; the lab was %.1f ms late at most (%s), %.1f ms at 99.9%%, and used"
+                + " %.1f s of processor time",
+            outcome.plan().seed(),
+            verdict(outcome),
+            outcome.late() / 1e3,
+            outcome.lateWho(),
+            outcome.lateUsual() / 1e3,
+            outcome.labProcessorSeconds()));
+    return text.toString();
+  }
+
+  private static String verdict(Lab.Outcome outcome) {
+    if (outcome.tooLate()) {
+      return "void, twice: nothing is said of the rules";
+    }
+    return outcome.sound() ? "all rules hold" : "a rule is broken";
+  }
+
+  static String json(Lab.Outcome outcome) {
+    JsonObject json = new JsonObject();
+    json.addProperty("seed", outcome.plan().seed());
+    json.addProperty("verdict", outcome.tooLate() ? "void" : outcome.sound() ? "holds" : "broken");
+    json.addProperty("served_share", Math.round(outcome.share() * 1e5) / 1e5);
+    json.addProperty("late_most_ms", outcome.late() / 1e3);
+    json.addProperty("late_of", outcome.lateWho());
+    json.addProperty("late_99_9_ms", outcome.lateUsual() / 1e3);
+    json.addProperty("lab_processor_s", Math.round(outcome.labProcessorSeconds() * 10) / 10.0);
+    JsonObject rules = new JsonObject();
+    outcome.counts().forEach(rules::addProperty);
+    json.add("rules", rules);
+    JsonArray breaches = new JsonArray();
+    for (Breach breach : outcome.breaches()) {
+      JsonObject one = new JsonObject();
+      one.addProperty("rule", breach.rule());
+      one.addProperty("at_s", breach.at() / 1e6);
+      one.addProperty("what", breach.what());
+      breaches.add(one);
+    }
+    json.add("breaches", breaches);
+    JsonArray log = new JsonArray();
+    outcome.breachLog().forEach(log::add);
+    json.add("breach_log", log);
+    JsonObject proxies = new JsonObject();
+    for (Map.Entry<String, Meter.Use> entry : outcome.uses().entrySet()) {
+      Tally.Count count = outcome.tallies().getOrDefault(entry.getKey(), new Tally.Count());
+      JsonObject one = new JsonObject();
+      one.addProperty("flows", count.sent);
+      one.addProperty("served", count.served);
+      one.addProperty("refused", count.refused);
+      one.addProperty("unanswered", count.unanswered());
+      one.addProperty("moved", count.moved);
+      one.addProperty("processor_s", Math.round(entry.getValue().processorSeconds * 100) / 100.0);
+      one.addProperty("resident_kib", entry.getValue().mostResidentKib);
+      one.addProperty("descriptors", entry.getValue().mostDescriptors);
+      one.addProperty("waited_for_core_ms", entry.getValue().waitedMicros / 1e3);
+      proxies.add(entry.getKey(), one);
+    }
+    json.add("proxies", proxies);
+    return new GsonBuilder().setPrettyPrinting().create().toJson(json);
+  }
+
+  /** Where to look at a site that is left standing. */
+  static String standing(Lab lab) {
+    StringBuilder text = new StringBuilder("the site stands until Ctrl-C; its files: ");
+    text.append(lab.folder()).append('\n');
+    lab.proxies()
+        .values()
+        .forEach(
+            proxy ->
+                proxy
+                    .processes()
+                    .forEach(
+                        process ->
+                            text.append(
+                                String.format(
+                                    "  %s: process %d, log %s%n",
+                                    proxy.name(), process.pid(), process.log()))));
+    return text.toString();
+  }
+}
--- a/src/main/java/brassbank/sim/actor/Discovery.java
+++ b/src/main/java/brassbank/sim/actor/Discovery.java
@@ -25,7 +25,9 @@
  * send garbage, and move to another address.
  */
 public final class Discovery {
-  private static final int PORT = 8500;
+  /** Where it listens on its machine. */
+  public static final int PORT = 8500;
+
   private static final int BACKLOG = 128;
   private static final long MILLI = Agenda.MILLI;
   private static final long SECOND = Agenda.SECOND;
@@ -104,6 +106,11 @@
     return world.addresses().of(proxy, addresses.get((at + moves) % addresses.size()), PORT);
   }
 
+  /** All machines that it can be at, the first one first. */
+  public List<Machine> machines() {
+    return addresses;
+  }
+
   public Machine machine() {
     return addresses.get(at);
   }
@@ -338,6 +345,7 @@
       if (request == null) {
         request = line;
       } else if (line.isEmpty()) {
+        world.tell(new Event.ListCalled(proxy, request.contains("follow=1")));
         queue.add(this);
         owner.later(MOST_WAIT, this::waitedTooLong);
         work();
--- a/src/main/java/brassbank/sim/actor/StreamHost.java
+++ b/src/main/java/brassbank/sim/actor/StreamHost.java
@@ -21,7 +21,9 @@
  * answers probes, warms up, drains, and falls over if it is pushed while cold.
  */
 public final class StreamHost {
-  private static final int PORT = 7070;
+  /** Where it listens on its machine. */
+  public static final int PORT = 7070;
+
   private static final int BACKLOG = 128;
   private static final long MILLI = Agenda.MILLI;
   private static final long SECOND = Agenda.SECOND;
@@ -538,6 +540,7 @@
     }
 
     private void probe(String line) {
+      world.tell(new Event.ProbeArrived(name, proxy, line));
       program.later(
           work(stream.micros(PROBE_LEAST, PROBE_MOST)),
           () -> {
--- a/src/main/java/brassbank/sim/actor/World.java
+++ b/src/main/java/brassbank/sim/actor/World.java
@@ -22,7 +22,7 @@
   private final Trace trace;
   private final Site site;
   private final Addresses addresses;
-  private final long epochMillis;
+  private long epochMillis;
   private final Flows flows = new Flows();
   private final Map<String, StreamHost> hosts = new LinkedHashMap<>();
   private Discovery discovery;
@@ -57,6 +57,11 @@
     return epochMillis;
   }
 
+  /** Time begins only now, at this Unix time. */
+  public void beginsAt(long unixMillis) {
+    epochMillis = unixMillis;
+  }
+
   Addresses addresses() {
     return addresses;
   }
--- a/src/main/java/brassbank/sim/check/Checks.java
+++ b/src/main/java/brassbank/sim/check/Checks.java
@@ -3,7 +3,9 @@
 import brassbank.sim.event.Event;
 import brassbank.sim.event.Trace;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 
 /** All rules of a run, and what they found. */
 public final class Checks implements Trace.Listener {
@@ -14,10 +16,15 @@
 
   private final List<Rule> rules;
   private final List<Breach> breaches = new ArrayList<>();
+  private final Map<String, Integer> counts = new LinkedHashMap<>();
 
   public Checks(List<Rule> rules, Truth truth) {
     this.rules = List.copyOf(rules);
-    this.rules.forEach(rule -> rule.judgedBy(this, truth));
+    this.rules.forEach(
+        rule -> {
+          rule.judgedBy(this, truth);
+          counts.put(rule.name(), 0);
+        });
   }
 
   /** Every rule there is; {@code figures} are the site's. */
@@ -80,11 +87,17 @@
   }
 
   void broken(Breach breach) {
+    counts.merge(breach.rule(), 1, Integer::sum);
     if (breaches.size() < MOST) {
       breaches.add(breach);
     }
   }
 
+  /** How often each rule was broken so far, in the rules' order. */
+  public Map<String, Integer> counts() {
+    return counts;
+  }
+
   /** What was broken so far, in the order of time; no more than the first twenty. */
   public List<Breach> breaches() {
     return breaches;
--- a/src/main/java/brassbank/sim/event/Event.java
+++ b/src/main/java/brassbank/sim/event/Event.java
@@ -87,6 +87,9 @@
   record HostEnded(String flow, String host, boolean stood, boolean reset, boolean silently)
       implements Event {}
 
+  /** A stream host has read a probe: {@code PING} or {@code STATS}. */
+  record ProbeArrived(String host, String proxy, String line) implements Event {}
+
   /** What was sent to a stream host cannot be read as anything the protocol knows. */
   record HostCannotRead(String host, String proxy, String line) implements Event {}
 
@@ -110,6 +113,9 @@
   /** Discovery knows of a change that it has to tell from here on. */
   record Listed(String host, String status) implements Event {}
 
+  /** A call has come whole to discovery, for the list or for a watch. */
+  record ListCalled(String proxy, boolean watch) implements Event {}
+
   /** Discovery has written a stream host's status to a proxy. */
   record Told(String proxy, String host, String status) implements Event {}
 
--- a/src/main/java/brassbank/sim/fault/Plan.java
+++ b/src/main/java/brassbank/sim/fault/Plan.java
@@ -113,6 +113,12 @@
     return faults.stream().mapToLong(Fault::untilMillis).max().orElse(0);
   }
 
+  /** The same without what only virtual time can show: a clock of its own for each machine. */
+  public Plan playable() {
+    return with(
+        faults.stream().filter(fault -> !fault.kind().name().equals("clock-step")).toList());
+  }
+
   public Plan with(List<Fault> left) {
     return new Plan(seed, seconds, proxies, hosts, rate, sockets, left, clients);
   }
--- a/src/main/java/brassbank/sim/net/Endpoint.java
+++ b/src/main/java/brassbank/sim/net/Endpoint.java
@@ -53,6 +53,11 @@
   private boolean pumpDue;
   private boolean lost;
   private long arrivedBytes;
+  private long writtenBytes;
+
+  /** Its program passes on what it reads, and says itself what of that has arrived. */
+  private boolean passesOn;
+
   private long stalledUntil;
 
   private final ByteQueue received = new ByteQueue();
@@ -103,9 +108,15 @@
 
   void ownedBy(Program owner) {
     program = owner;
+    passesOn = owner.passesOn();
     wakeReader();
   }
 
+  /** It waits in this program's backlog. */
+  void heldFor(Program listener) {
+    passesOn = listener.passesOn();
+  }
+
   private long now() {
     return fabric.agenda().now();
   }
@@ -204,6 +215,7 @@
         firstWriteAt = now();
       }
       unsent.add(from, offset, taken);
+      writtenBytes += taken;
       pump();
     }
     return taken;
@@ -438,7 +450,10 @@
     }
     mix(segment);
     received.add(segment, 0, segment.length);
-    peer.arrived(segment.length);
+    if (!passesOn) {
+      peer.arrived(segment.length);
+    }
+    peer.wakeWriter();
     wakeReader();
   }
 
@@ -455,7 +470,11 @@
     while (!awaited.isEmpty() && awaited.peek().bytes() <= arrivedBytes) {
       awaited.poll().then().run();
     }
-    wakeWriter();
+  }
+
+  /** So many of the bytes that were read here have reached where the program passes them on to. */
+  public void passedOn(int bytes) {
+    peer.arrived(bytes);
   }
 
   /** Bytes for a connection that is closed here, or that this kernel does not know. */
@@ -525,7 +544,7 @@
 
   /** Runs once all that was written so far has arrived at the peer's machine. */
   public void whenArrived(Runnable then) {
-    awaited.add(new Awaited(arrivedBytes + unarrived(), then));
+    awaited.add(new Awaited(writtenBytes, then));
   }
 
   /** Since when nothing has been late on this connection through the network's fault. */
--- a/src/main/java/brassbank/sim/net/Fabric.java
+++ b/src/main/java/brassbank/sim/net/Fabric.java
@@ -103,6 +103,28 @@
     return last;
   }
 
+  /** What a connect meets. */
+  public enum Reach {
+    /** It comes up. */
+    OPEN,
+    /** It is refused. */
+    REFUSED,
+    /** Nothing answers. */
+    SILENT
+  }
+
+  /** What a connect from one machine to a port of another would meet now. */
+  public Reach reach(Machine from, Machine to, int port) {
+    if (connectsBlocked(from, to) || connectsBlocked(to, from)) {
+      return Reach.SILENT;
+    }
+    Port listener = to.listener(port);
+    if (listener == null) {
+      return Reach.REFUSED;
+    }
+    return listener.full() ? Reach.SILENT : Reach.OPEN;
+  }
+
   boolean blocked(Machine from, Machine to) {
     if (from.dark() || to.dark()) {
       return true;
--- a/src/main/java/brassbank/sim/net/Program.java
+++ b/src/main/java/brassbank/sim/net/Program.java
@@ -39,6 +39,7 @@
   private int connecting;
   private int mostDescriptors;
   private boolean alive = true;
+  private boolean passesOn;
   private long pausedUntil;
 
   /**
@@ -60,6 +61,19 @@
     return name;
   }
 
+  /**
+   * It is a stand-in that passes on what it reads: bytes count as arrived once it says so ({@link
+   * Endpoint#passedOn}), and not when they are in its machine's buffers.
+   */
+  public Program passingOn() {
+    passesOn = true;
+    return this;
+  }
+
+  boolean passesOn() {
+    return passesOn;
+  }
+
   public boolean alive() {
     return alive;
   }
@@ -279,6 +293,7 @@
     }
 
     private void complete(Port listener, Endpoint far) {
+      far.heldFor(listener.program());
       if (server.dark()) {
         far.vanish();
       } else if (server.listener(to.getPort()) == listener) {
--- a/src/main/java/brassbank/sim/proxy/ProxyConfig.java
+++ b/src/main/java/brassbank/sim/proxy/ProxyConfig.java
@@ -7,7 +7,7 @@
 import java.util.List;
 
 /** The configuration file that the platform would give a proxy, written from the site's figures. */
-final class ProxyConfig {
+public final class ProxyConfig {
   private static final long MILLI = 1_000;
 
   private ProxyConfig() {}
@@ -17,7 +17,7 @@
    *
    * @param known discovery's list, as this proxy last had it
    */
-  static String text(
+  public static String text(
       Site site,
       String name,
       int rank,
--- a/src/main/java/brassbank/sim/time/Agenda.java
+++ b/src/main/java/brassbank/sim/time/Agenda.java
@@ -80,6 +80,11 @@
     return false;
   }
 
+  /** When the next entry is due, one taken back among them; the greatest value where none is. */
+  public long nextDue() {
+    return entries.isEmpty() ? Long.MAX_VALUE : entries.peek().due;
+  }
+
   /** Tasks run so far. */
   public long steps() {
     return steps;
--- a/src/test/java/brassbank/ArchitectureTest.java
+++ b/src/test/java/brassbank/ArchitectureTest.java
@@ -263,6 +263,31 @@
     slices().matching("brassbank.(*)..").should().beFreeOfCycles().check(program);
   }
 
+  /** It meets the program as processes only, and is judged by the simulation's rules. */
+  @ArchTest
+  static void theLabKnowsTheSimulationAndNothingOfTheProgram(JavaClasses program) {
+    onlyKnows(
+            "brassbank.lab",
+            "brassbank.sim",
+            "brassbank.sim.actor",
+            "brassbank.sim.check",
+            "brassbank.sim.event",
+            "brassbank.sim.fault",
+            "brassbank.sim.net",
+            "brassbank.sim.proxy",
+            "brassbank.sim.time",
+            "brassbank.cli",
+            "brassbank.sources")
+        .check(program);
+    noClasses()
+        .that()
+        .resideOutsideOfPackages("brassbank", "brassbank.lab")
+        .should()
+        .dependOnClassesThat()
+        .resideInAPackage("brassbank.lab")
+        .check(program);
+  }
+
   @ArchTest
   static void aGatewaysLinkPointsDownAndNothingElseLoadsIt(JavaClasses program) {
     String link = "brassbank.gateway.link";
