Rules over the whole fleet: attempts, probes, calls, a cold host's budget, nobody left

Need: what all proxies do together was judged by no rule. A change of the module, fewer probes after failed connects, was tried and taken back: no rule needs it.

--- a/src/main/java/brassbank/sim/Scene.java
+++ b/src/main/java/brassbank/sim/Scene.java
@@ -98,6 +98,7 @@
                     site.answerSlack(),
                     site.drainGrace(),
                     MOST_ATTEMPTS,
+                    site.proxies(),
                     site.hosts(),
                     Plan.RECOVERY_MILLIS * MILLI,
                     plan.sockets() < Plan.USUAL_SOCKETS,
--- a/src/main/java/brassbank/sim/actor/StreamHost.java
+++ b/src/main/java/brassbank/sim/actor/StreamHost.java
@@ -439,7 +439,8 @@
     while (pressures.peek().at() < from) {
       pressures.removeFirst();
     }
-    if (now - startedAt >= world.site().fallWindow() && pushed()) {
+    world.tell(new Event.ColdHostAsked(name, toldShare() * pushedBy()));
+    if (now - startedAt >= world.site().fallWindow() && pushedBy() > 1) {
       fallen = true;
       world.tell(new Event.HostFellOver(name, toldShare()));
       kill();
@@ -448,14 +449,15 @@
     program.later(LOOK, this::look);
   }
 
-  private boolean pushed() {
+  /** What it is asked for over what it can bear, in the time that counts for its fall. */
+  private double pushedBy() {
     double asked = 0;
     double could = 0;
     for (Pressure pressure : pressures) {
       asked += pressure.asked();
       could += pressure.capacity();
     }
-    return asked > world.site().fallMultiple() * could + FALL_SLACK * pressures.size();
+    return asked / (world.site().fallMultiple() * could + FALL_SLACK * pressures.size());
   }
 
   private double toldShare() {
@@ -540,7 +542,8 @@
     }
 
     private void probe(String line) {
-      world.tell(new Event.ProbeArrived(name, proxy, line));
+      long calm = Math.max(pausedUntil, lines.endpoint().calmSince());
+      world.tell(new Event.ProbeArrived(name, proxy, line, calm));
       program.later(
           work(stream.micros(PROBE_LEAST, PROBE_MOST)),
           () -> {
--- a/src/main/java/brassbank/sim/check/ColdHosts.java
+++ b/src/main/java/brassbank/sim/check/ColdHosts.java
@@ -4,11 +4,15 @@
 
 /**
  * No cold host is pushed over: it fell, and two thirds of what pushed it came from proxies that
- * knew of its start.
+ * knew of its start. Nor do these ask it, all together, for more than a share of what it bears: its
+ * budget is the fleet's, and nobody may rest on luck.
  */
 final class ColdHosts extends Rule {
   private static final double MOST_TOLD = 2.0 / 3;
 
+  /** The worst seen in each of 141 plays: 0.25 or less in all but one, 0.55 there. */
+  private static final double MOST_ASKED = 0.8;
+
   ColdHosts() {
     super("no cold host pushed over");
   }
@@ -17,6 +21,13 @@
   void see(long now, Event event) {
     if (event instanceof Event.HostFellOver fell && fell.told() >= MOST_TOLD) {
       broken(now, fell.host() + " fell over while it was cold");
+    } else if (event instanceof Event.ColdHostAsked asked && asked.share() > MOST_ASKED) {
+      broken(
+          now,
+          asked.host()
+              + " is asked for "
+              + Math.round(100 * asked.share())
+              + "% of what it bears while it is cold, by all proxies together");
     }
   }
 }
--- a/src/main/java/brassbank/sim/event/Event.java
+++ b/src/main/java/brassbank/sim/event/Event.java
@@ -87,8 +87,12 @@
   record HostEnded(String flow, String host, boolean stood, boolean reset, boolean silently)
       implements Event {}
 
-  /** A stream host has read a probe: {@code PING} or {@code STATS}. */
-  record ProbeArrived(String host, String proxy, String line) implements Event {}
+  /**
+   * A stream host has read a probe: {@code PING} or {@code STATS}.
+   *
+   * @param calmSince since when neither the network nor the host has held up its connection
+   */
+  record ProbeArrived(String host, String proxy, String line, long calmSince) implements Event {}
 
   /** What was sent to a stream host cannot be read as anything the protocol knows. */
   record HostCannotRead(String host, String proxy, String line) implements Event {}
@@ -108,6 +112,12 @@
    */
   record HostFellOver(String host, double told) implements Event {}
 
+  /**
+   * How near a cold stream host is to falling over through proxies that knew of its start: what
+   * they ask for, all together, over what it can bear. Told ten times a second.
+   */
+  record ColdHostAsked(String host, double share) implements Event {}
+
   // ---------------------------------------------------------------- discovery
 
   /** Discovery knows of a change that it has to tell from here on. */
--- a/src/main/java/brassbank/sim/proxy/ProxyNode.java
+++ b/src/main/java/brassbank/sim/proxy/ProxyNode.java
@@ -29,7 +29,7 @@
  * planned, told to read its configuration again. What runs in it is the program's own {@link
  * Proxy}.
  */
-public final class ProxyNode implements Instance {
+public class ProxyNode implements Instance {
   private static final int PORT = 7070;
   private static final long MILLI = Agenda.MILLI;
 
--- a/src/test/java/brassbank/sim/PlantedBug.java
+++ b/src/test/java/brassbank/sim/PlantedBug.java
@@ -80,6 +80,12 @@
   /** The descriptors that the runtime holds are not counted. */
   DESCRIPTORS_MISCOUNTED("descriptors within", Miscounted::new),
 
+  /** A stream host is asked the same thirty times over. */
+  PROBE_STORM("probes a second", ProbeStorm::new),
+
+  /** Each call to discovery is made as if nobody had to wait for it. */
+  CALL_STORM("calls a second", CallStorm::new),
+
   /** A drain moves no one. */
   DRAIN_FORGOTTEN("a proxy on standby", StopForgotten::new),
 
@@ -560,6 +566,78 @@
     }
   }
 
+  private static final class ProbeStorm extends Wrapped {
+    ProbeStorm(Network real) {
+      super(real);
+    }
+
+    @Override
+    Channel opened(InetSocketAddress address, Channel channel) {
+      return new Wire(channel) {
+        @Override
+        public int write(ByteBuffer from) throws IOException {
+          String text = text(from);
+          return text.equals("STATS\r\n") ? instead(from, text.repeat(30)) : super.write(from);
+        }
+      };
+    }
+  }
+
+  private static final class CallStorm extends Wrapped {
+    CallStorm(Network real) {
+      super(real);
+    }
+
+    @Override
+    public Attempt get(InetSocketAddress address, String path, Answer answer) {
+      for (int i = 0; i < 30; i++) {
+        real.get(
+            address,
+            path,
+            new Answer() {
+              @Override
+              public void connected() {}
+
+              @Override
+              public void content(int status, ByteBuffer bytes, boolean last) {}
+
+              @Override
+              public void failed(String why) {}
+            });
+      }
+      return real.get(address, path, answer);
+    }
+  }
+
+  /**
+   * Every flow goes to the stream hosts under the first one's id. Other rules break as well, so
+   * that it is no bug of the list: a run would end with the first breach.
+   */
+  static final class FifthAttempt extends Wrapped {
+    private static final Pattern ID = Pattern.compile("OPEN (\\S+) ");
+    private String used;
+
+    FifthAttempt(Network real) {
+      super(real);
+    }
+
+    @Override
+    Channel opened(InetSocketAddress address, Channel channel) {
+      return new Wire(channel) {
+        @Override
+        public int write(ByteBuffer from) throws IOException {
+          String text = text(from);
+          Matcher id = ID.matcher(text);
+          if (!id.lookingAt()) {
+            return super.write(from);
+          }
+          used = used == null ? id.group(1) : used;
+          return instead(from, text.replace(id.group(1), used));
+        }
+      };
+    }
+  }
+
   private static final class DoorKept extends Wrapped {
     DoorKept(Network real) {
       super(real);
--- a/src/test/java/brassbank/sim/SimulationTest.java
+++ b/src/test/java/brassbank/sim/SimulationTest.java
@@ -3,16 +3,19 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import brassbank.sim.check.Breach;
+import brassbank.sim.event.Event;
 import brassbank.sim.fault.Fault;
 import brassbank.sim.fault.Night;
 import brassbank.sim.fault.Plan;
 import brassbank.sim.fault.Script;
+import brassbank.sim.proxy.ProxyNode;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.function.UnaryOperator;
 import java.util.stream.LongStream;
 import java.util.stream.Stream;
@@ -104,6 +107,43 @@
     assertThat(seed).as("what else was broken: %s", others).isPositive();
   }
 
+  /** How often each rule was broken by the proxies of this cast, whatever was broken before. */
+  private static Map<String, Integer> counts(Scene.Cast cast) throws Exception {
+    Plan plan = Script.read(Path.of("src/test/resources/lab/one-is-killed.toml"));
+    Scene scene = new Scene(plan, Scene.House.VIRTUAL, cast);
+    scene.begin();
+    while (scene.agenda().step(scene.end())) {
+      // All that is due.
+    }
+    return scene.checks().counts();
+  }
+
+  /** A kill that does not kill: its clients stand at a proxy that nobody has any longer. */
+  @Test
+  void catchesAClientThatIsLeftWhereNoProxyIs() throws Exception {
+    Map<String, Integer> counts =
+        counts(
+            (world, name, rank, machine) ->
+                new ProxyNode(
+                    world, world.site(), name, rank, machine, UnaryOperator.identity(), false) {
+                  @Override
+                  public void crash(long downFor) {
+                    world.tell(new Event.ProxyKilled(name, false));
+                  }
+                });
+    assertThat(counts.get("no client is left that no proxy holds")).isPositive();
+  }
+
+  @Test
+  void catchesAFifthAttempt() throws Exception {
+    Map<String, Integer> counts =
+        counts(
+            (world, name, rank, machine) ->
+                new ProxyNode(
+                    world, world.site(), name, rank, machine, PlantedBug.FifthAttempt::new, false));
+    assertThat(counts.get("no more attempts of a flow than are allowed")).isPositive();
+  }
+
   private static List<String> events(Plan plan, List<String> into) {
     Run run = new Run(plan, UnaryOperator.identity());
     run.trace().listen((now, event) -> into.add(now + " " + event.text()));
