Faults of links and of processes in numbers, for scripts, in both worlds

Need: links cut one way or both, refused, reset, late, thin, in pieces; a starved process; all killed at once. Change: the kinds link-*, proxy-starved and proxies-crash, which scripts use and seeds do not draw. Ruled out: kinds that seeds draw, which would change what every seed has been.

--- a/src/main/java/brassbank/lab/Lab.java
+++ b/src/main/java/brassbank/lab/Lab.java
@@ -114,6 +114,10 @@
    * @throws LabException where the plan cannot be played here, or the machine has no place for it
    */
   public Lab(Plan plan, Path root, Path logs) throws IOException {
+    this(plan, root, logs, Tamper.NONE);
+  }
+
+  Lab(Plan plan, Path root, Path logs, Tamper tamper) throws IOException {
     for (Fault fault : plan.faults()) {
       if (NOT_HERE.contains(fault.kind().name())) {
         throw new LabException(fault.kind() + " cannot be played on real processes");
@@ -134,7 +138,7 @@
             (world, name, rank, machine) -> {
               RealProxy proxy =
                   new RealProxy(
-                      shared(world, root),
+                      shared(world, root, tamper),
                       world,
                       Scene.site(plan),
                       name,
@@ -149,13 +153,13 @@
     meter = new Meter(proxies, turner, this::logged);
   }
 
-  private RealProxy.Lab shared(World world, Path root) {
+  private RealProxy.Lab shared(World world, Path root, Tamper tamper) {
     try {
       if (turner == null) {
         turner = new Turner(world.agenda(), lateness);
         helpers = new Helpers(turner);
       }
-      return new RealProxy.Lab(turner, helpers, guard, loopback, root, folder, logs);
+      return new RealProxy.Lab(turner, helpers, guard, loopback, tamper, root, folder, logs);
     } catch (IOException e) {
       throw new LabException("no selector: " + e.getMessage(), e);
     }
--- a/src/main/java/brassbank/lab/RealProxy.java
+++ b/src/main/java/brassbank/lab/RealProxy.java
@@ -26,6 +26,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
 
 /**
  * A proxy whose process the operating system runs. Its machine in the simulated network holds a
@@ -62,6 +63,7 @@
       Helpers helpers,
       Guard guard,
       Loopback loopback,
+      Tamper tamper,
       Path root,
       Path folder,
       Path logs) {}
@@ -176,11 +178,11 @@
       return;
     }
     program.connect(
-        new InetSocketAddress(door.to().address(), door.port()),
+        new InetSocketAddress(lab.tamper().meant(door.to()).address(), door.port()),
         new Program.Connected() {
           @Override
           public void up(Endpoint endpoint) {
-            join(channel, endpoint);
+            join(channel, endpoint, lab.tamper()::said);
           }
 
           @Override
@@ -190,8 +192,8 @@
         });
   }
 
-  private void join(SocketChannel channel, Endpoint endpoint) {
-    Splice splice = new Splice(channel, endpoint, scratch, splices::remove);
+  private void join(SocketChannel channel, Endpoint endpoint, UnaryOperator<byte[]> tampering) {
+    Splice splice = new Splice(channel, endpoint, scratch, tampering, splices::remove);
     splices.add(splice);
     splice.begin(lab.turner());
   }
@@ -206,7 +208,7 @@
       SocketChannel channel = SocketChannel.open();
       channel.configureBlocking(false);
       if (channel.connect(address)) {
-        join(channel, endpoint);
+        join(channel, endpoint, UnaryOperator.identity());
       } else {
         lab.turner()
             .register(channel, SelectionKey.OP_CONNECT, key -> connected(channel, endpoint, key));
@@ -220,7 +222,7 @@
     try {
       channel.finishConnect();
       key.interestOps(0);
-      join(channel, endpoint);
+      join(channel, endpoint, UnaryOperator.identity());
     } catch (IOException e) {
       Splice.reset(channel);
       endpoint.reset();
@@ -404,9 +406,14 @@
       stopping = true;
       listening = false;
       life++;
-      processes.forEach(this::end);
-      program.kill();
-      List.copyOf(splices).forEach(Splice::breakBoth);
+      if (lab.tamper().keepsClientsOf(name)) {
+        program.stopListening();
+        program = null;
+      } else {
+        processes.forEach(this::end);
+        program.kill();
+        List.copyOf(splices).forEach(Splice::breakBoth);
+      }
       world.front().died(name);
       world.tell(new Event.ProxyKilled(name, false));
     }
--- a/src/main/java/brassbank/lab/Splice.java
+++ b/src/main/java/brassbank/lab/Splice.java
@@ -9,6 +9,7 @@
 import java.nio.channels.SocketChannel;
 import java.util.Arrays;
 import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
 
 /**
  * One connection of a real process, joined to its other half in the simulated network: bytes, ends
@@ -27,6 +28,7 @@
   private final Endpoint endpoint;
   private final Consumer<Splice> over;
   private final ByteBuffer scratch;
+  private final UnaryOperator<byte[]> tampering;
   private SelectionKey key;
 
   /** What one side has given and the other has not taken yet. */
@@ -41,12 +43,19 @@
    * Joins two halves that both stand.
    *
    * @param scratch room for one read, which all splices of a thread may share
+   * @param tampering what goes on of what the process has written
    * @param over is told once, when both halves have been given back
    */
-  Splice(SocketChannel channel, Endpoint endpoint, ByteBuffer scratch, Consumer<Splice> over) {
+  Splice(
+      SocketChannel channel,
+      Endpoint endpoint,
+      ByteBuffer scratch,
+      UnaryOperator<byte[]> tampering,
+      Consumer<Splice> over) {
     this.channel = channel;
     this.endpoint = endpoint;
     this.scratch = scratch;
+    this.tampering = tampering;
     this.over = over;
   }
 
@@ -90,9 +99,10 @@
           realEnded = true;
           key.interestOpsAnd(~SelectionKey.OP_READ);
         } else {
-          int taken = endpoint.write(scratch.array(), 0, count);
-          if (taken < count) {
-            toSim = Arrays.copyOfRange(scratch.array(), taken, count);
+          byte[] said = tampering.apply(Arrays.copyOf(scratch.array(), count));
+          int taken = endpoint.write(said, 0, said.length);
+          if (taken < said.length) {
+            toSim = Arrays.copyOfRange(said, taken, said.length);
             key.interestOpsAnd(~SelectionKey.OP_READ);
             endpoint.writing(true);
           }
--- a/src/main/java/brassbank/sim/fault/FaultKind.java
+++ b/src/main/java/brassbank/sim/fault/FaultKind.java
@@ -7,7 +7,7 @@
  * A kind of fault: on what, for how long, how strong, and what it does. Its name is its own.
  *
  * @param about one line for those who write scripts
- * @param most how many of them one run may have
+ * @param most how many of them one run may have; 0 for what only scripts use
  */
 public record FaultKind(
     String name,
@@ -26,6 +26,8 @@
     HOST,
     PROXY,
     ZONE,
+    /** Links between machines, as {@link Ends} has them. */
+    LINK,
     ALL
   }
 
--- a/src/main/java/brassbank/sim/fault/Kinds.java
+++ b/src/main/java/brassbank/sim/fault/Kinds.java
@@ -40,6 +40,7 @@
     all.addAll(discovery());
     all.addAll(proxies());
     all.addAll(clients());
+    all.addAll(LinkKinds.all());
     return List.copyOf(all);
   }
 
--- /dev/null
+++ b/src/main/java/brassbank/sim/fault/LinkKinds.java
@@ -0,0 +1,147 @@
+package brassbank.sim.fault;
+
+import brassbank.sim.actor.Instance;
+import brassbank.sim.net.Disturbance;
+import brassbank.sim.net.Machine;
+import brassbank.sim.time.Draws;
+import java.util.List;
+import java.util.function.BiFunction;
+
+/**
+ * Faults of single links, and of processes in numbers, that scripts use and seeds do not draw: what
+ * is drawn stays what it was.
+ */
+final class LinkKinds {
+  private static final long MILLI = 1_000;
+  private static final FaultKind.Doing NOTHING = (stage, fault) -> {};
+
+  /** A starved process runs and is stopped in turns of this length together. */
+  private static final long TURN = 100 * MILLI;
+
+  private LinkKinds() {}
+
+  static List<FaultKind> all() {
+    return List.of(
+        link(
+            "link-cut",
+            "nothing passes over these links, and nothing tells of it",
+            0,
+            (ends, fault) ->
+                new Disturbance() {
+                  @Override
+                  public boolean blocks(Machine from, Machine to) {
+                    return ends.has(from, to);
+                  }
+                }),
+        link(
+            "link-refused",
+            "connects over these links are refused; what stands is left alone",
+            0,
+            (ends, fault) ->
+                new Disturbance() {
+                  @Override
+                  public boolean refuses(Machine from, Machine to) {
+                    return ends.has(from, to);
+                  }
+                }),
+        link(
+            "link-late",
+            "half to one and a half times so many milliseconds more over these links",
+            100,
+            (ends, fault) -> late(ends, fault)),
+        link(
+            "link-thin",
+            "each connection over these links gets so many kilobytes a second",
+            10,
+            (ends, fault) ->
+                new Disturbance() {
+                  @Override
+                  public long bandwidth(Machine from, Machine to) {
+                    return ends.has(from, to) ? (long) (fault.size() * 1_000) : Long.MAX_VALUE;
+                  }
+                }),
+        link(
+            "link-chopped",
+            "what passes over these links comes in pieces of so many bytes at most",
+            3,
+            (ends, fault) ->
+                new Disturbance() {
+                  @Override
+                  public int segment(Machine from, Machine to) {
+                    return ends.has(from, to) ? Math.max(1, (int) fault.size()) : Integer.MAX_VALUE;
+                  }
+                }),
+        new FaultKind(
+            "link-reset",
+            "all that stands over these links is reset at once, at both ends",
+            FaultKind.On.LINK,
+            0,
+            0,
+            0,
+            0,
+            0,
+            (stage, fault) -> {
+              Ends ends = Ends.parse(fault.target());
+              stage.world().fabric().reset(ends::has);
+            },
+            NOTHING),
+        new FaultKind(
+            "proxy-starved",
+            "a proxy does not run for this share of each 100 ms",
+            FaultKind.On.PROXY,
+            500,
+            10_000,
+            0.5,
+            0.95,
+            0,
+            (stage, fault) -> starve(stage, fault, 0),
+            NOTHING),
+        new FaultKind(
+            "proxies-crash",
+            "all proxies are killed at once and start again from nothing",
+            FaultKind.On.ALL,
+            300,
+            5_000,
+            0,
+            0,
+            0,
+            (stage, fault) -> {
+              for (Instance proxy : stage.proxies()) {
+                proxy.crash(fault.forMillis() * MILLI);
+              }
+            },
+            NOTHING));
+  }
+
+  private static FaultKind link(
+      String name, String about, double size, BiFunction<Ends, Fault, Disturbance> disturbance) {
+    return new FaultKind(
+        name,
+        about,
+        FaultKind.On.LINK,
+        500,
+        10_000,
+        size,
+        size,
+        0,
+        (stage, fault) -> stage.begin(fault, disturbance.apply(Ends.parse(fault.target()), fault)),
+        Stage::end);
+  }
+
+  private static Disturbance late(Ends ends, Fault fault) {
+    Draws.Stream jitter = new Draws(fault.atMillis()).of("jitter " + fault);
+    return new Disturbance() {
+      @Override
+      public long delay(Machine from, Machine to) {
+        return ends.has(from, to) ? (long) (fault.size() * MILLI * jitter.between(0.5, 1.5)) : 0;
+      }
+    };
+  }
+
+  private static void starve(Stage stage, Fault fault, long done) {
+    if (done < fault.forMillis() * MILLI) {
+      stage.proxy(fault).pause((long) (fault.size() * TURN));
+      stage.world().agenda().after(TURN, () -> starve(stage, fault, done + TURN));
+    }
+  }
+}
--- a/src/main/java/brassbank/sim/fault/Plan.java
+++ b/src/main/java/brassbank/sim/fault/Plan.java
@@ -70,7 +70,7 @@
     List<Fault> faults = new ArrayList<>();
     for (FaultKind kind : Kinds.ALL) {
       Draws.Stream stream = draws.of("fault " + kind.name());
-      if (!stream.chance(share)) {
+      if (kind.most() == 0 || !stream.chance(share)) {
         continue;
       }
       int count = stream.between(1, kind.most());
--- a/src/main/java/brassbank/sim/fault/Script.java
+++ b/src/main/java/brassbank/sim/fault/Script.java
@@ -162,7 +162,9 @@
     long length = whole(table, "for_ms", kind.leastMillis(), 0, most);
     List<String> targets = Plan.targets(kind.on(), plan.proxies(), plan.hosts());
     String target = text(table, "target");
-    if (target == null) {
+    if (kind.on() == FaultKind.On.LINK) {
+      links(table, at, name, target);
+    } else if (target == null) {
       if (!targets.isEmpty()) {
         throw new ScriptException(place(file, at) + name + " needs a 'target'");
       }
@@ -179,6 +181,18 @@
     return new Fault(kind, from, length, target, size);
   }
 
+  private void links(TomlTable table, TomlPosition at, String name, String target)
+      throws ScriptException {
+    if (target == null) {
+      throw new ScriptException(place(file, at) + name + " needs a 'target'");
+    }
+    try {
+      Ends.parse(target);
+    } catch (IllegalArgumentException e) {
+      throw wrong(table, "target", e.getMessage());
+    }
+  }
+
   /** The plan as a script, which reads back as the same plan; {@code comment} stands first. */
   public static String write(Plan plan, String comment) {
     StringBuilder text = new StringBuilder();
--- a/src/main/java/brassbank/sim/net/Disturbance.java
+++ b/src/main/java/brassbank/sim/net/Disturbance.java
@@ -15,6 +15,16 @@
     return false;
   }
 
+  /** Connects are refused. */
+  default boolean refuses(Machine from, Machine to) {
+    return false;
+  }
+
+  /** Bytes that come in one piece, at most. */
+  default int segment(Machine from, Machine to) {
+    return Integer.MAX_VALUE;
+  }
+
   /** Added to the time that a connect takes, in microseconds. */
   default long connectDelay(Machine from, Machine to) {
     return 0;
@@ -36,6 +46,7 @@
         || delay(from, to) > 0
         || bandwidth(from, to) < Long.MAX_VALUE
         || blocksConnects(from, to)
+        || refuses(from, to)
         || connectDelay(from, to) > 0;
   }
 }
--- a/src/main/java/brassbank/sim/net/Endpoint.java
+++ b/src/main/java/brassbank/sim/net/Endpoint.java
@@ -386,7 +386,8 @@
       if (window <= 0) {
         return;
       }
-      send(Math.min(Math.min(window, SEGMENT), unsent.size()));
+      int most = fabric.segment(machine, peer.machine, SEGMENT);
+      send(Math.min(Math.min(window, most), unsent.size()));
     }
   }
 
@@ -503,6 +504,12 @@
     wakeReader();
   }
 
+  /** A box on the way resets it. */
+  void cutOff() {
+    stalledUntil = Math.max(stalledUntil, now());
+    resetArrives();
+  }
+
   private void resetArrives() {
     if (forgotten || broken) {
       return;
--- a/src/main/java/brassbank/sim/net/Fabric.java
+++ b/src/main/java/brassbank/sim/net/Fabric.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BiPredicate;
 
 /**
  * All machines and the ways between them. A way's latency is drawn once for each pair of machines;
@@ -119,7 +120,7 @@
       return Reach.SILENT;
     }
     Port listener = to.listener(port);
-    if (listener == null) {
+    if (listener == null || refuses(from, to)) {
       return Reach.REFUSED;
     }
     return listener.full() ? Reach.SILENT : Reach.OPEN;
@@ -146,6 +147,31 @@
     return blocked(from, to);
   }
 
+  boolean refuses(Machine from, Machine to) {
+    for (Disturbance disturbance : disturbances) {
+      if (disturbance.refuses(from, to)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Bytes that come in one piece at most. */
+  int segment(Machine from, Machine to, int usual) {
+    int least = usual;
+    for (Disturbance disturbance : disturbances) {
+      least = Math.min(least, disturbance.segment(from, to));
+    }
+    return least;
+  }
+
+  /** Resets at both ends every connection between two machines that are meant, in either order. */
+  public void reset(BiPredicate<Machine, Machine> meant) {
+    for (Machine machine : machines.values()) {
+      machine.resetAll(peer -> meant.test(machine, peer) || meant.test(peer, machine));
+    }
+  }
+
   long connectDelay(Machine from, Machine to) {
     long delay = 0;
     for (Disturbance disturbance : disturbances) {
--- a/src/main/java/brassbank/sim/net/Machine.java
+++ b/src/main/java/brassbank/sim/net/Machine.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /**
  * One machine, with an address of its own: the kernel's part of its connections. A machine that is
@@ -89,6 +90,15 @@
     endpoints.remove(endpoint);
   }
 
+  /** As a box on the way does that forgets its connections: each end sees a reset. */
+  void resetAll(Predicate<Machine> peers) {
+    for (Endpoint endpoint : List.copyOf(endpoints)) {
+      if (peers.test(endpoint.peerMachine())) {
+        endpoint.cutOff();
+      }
+    }
+  }
+
   Port listener(int port) {
     return listeners.get(port);
   }
--- a/src/main/java/brassbank/sim/net/Program.java
+++ b/src/main/java/brassbank/sim/net/Program.java
@@ -271,7 +271,7 @@
       }
       if (fabric.connectsBlocked(server, machine) || (listener != null && listener.full())) {
         again();
-      } else if (listener == null) {
+      } else if (listener == null || fabric.refuses(machine, server)) {
         later(oneWay, () -> end(new IOException("connection refused")));
       } else {
         later(oneWay, () -> up(listener, oneWay));
