--- a/src/main/java/brassbank/lab/ProxyProcess.java
+++ b/src/main/java/brassbank/lab/ProxyProcess.java
@@ -45,7 +45,7 @@
         new ProcessBuilder("sh", "-c", listener == null ? GATED : INHERITING)
             .directory(root.toFile())
             .redirectErrorStream(true)
-            .redirectOutput(log.toFile());
+            .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
     builder.environment().keySet().removeIf(name -> name.startsWith("LB_"));
     builder.environment().remove("BRASSBANK_LOG");
     builder.environment().putAll(variables);
