Datagrams in the simulated network, and between real processes through the lab

Need: membership will speak by datagrams; the lab's links are to carry, lose, double, delay and cut them. Change: sim.net.Datagrams; a socket of the lab's for each ordered pair of proxies; link-loses and link-doubles. Ruled out: reordering on calm links, which jitter alone made, is not kept.

--- a/src/main/java/brassbank/lab/Lab.java
+++ b/src/main/java/brassbank/lab/Lab.java
@@ -242,7 +242,7 @@
     }
   }
 
-  private void build() {
+  private void build() throws IOException {
     World world = scene.world();
     for (RealProxy proxy : proxies.values()) {
       for (StreamHost host : world.hosts().values()) {
@@ -254,6 +254,7 @@
       for (RealProxy other : proxies.values()) {
         if (other != proxy) {
           proxy.meets(other.machine(), StreamHost.PORT);
+          proxy.speaksTo(other);
         }
       }
       doors.addAll(proxy.doors());
--- a/src/main/java/brassbank/lab/RealProxy.java
+++ b/src/main/java/brassbank/lab/RealProxy.java
@@ -4,6 +4,7 @@
 import brassbank.sim.actor.Site;
 import brassbank.sim.actor.World;
 import brassbank.sim.event.Event;
+import brassbank.sim.net.Datagrams;
 import brassbank.sim.net.Endpoint;
 import brassbank.sim.net.Machine;
 import brassbank.sim.net.Port;
@@ -78,6 +79,7 @@
   private final Draws.Stream stream;
   private final ByteBuffer scratch;
   private final List<Door> doors = new ArrayList<>();
+  private final Map<Machine, DatagramDoor> datagramDoors = new LinkedHashMap<>();
   private final Set<Splice> splices = new LinkedHashSet<>();
   private final List<ProxyProcess> processes = new ArrayList<>();
   private final List<Path> logs = new ArrayList<>();
@@ -85,6 +87,7 @@
 
   private ProxyProcess process;
   private Program program;
+  private Datagrams datagrams;
   private String known;
   private boolean stopping;
   private boolean listening;
@@ -131,6 +134,16 @@
     return machine;
   }
 
+  /** Where its process listens. */
+  InetSocketAddress address() {
+    return address;
+  }
+
+  /** Where its process meets another proxy. */
+  InetSocketAddress seen(RealProxy other) {
+    return lab.loopback().address(name, other.machine);
+  }
+
   /** The files its processes have logged to, the oldest first. */
   List<Path> logs() {
     return logs;
@@ -167,6 +180,37 @@
     doors.add(door[0]);
   }
 
+  /** It meets this proxy for datagrams; to be said before its first start. */
+  void speaksTo(RealProxy other) throws IOException {
+    datagramDoors.put(
+        other.machine,
+        new DatagramDoor(
+            lab.turner(),
+            lab.loopback().address(name, other.machine),
+            address,
+            bytes -> {
+              if (datagrams != null && bytes.length <= Datagrams.MOST_BYTES) {
+                datagrams.send(other.machine, PORT, bytes);
+              }
+            }));
+  }
+
+  private void hear() {
+    try {
+      datagrams =
+          program.datagrams(
+              PORT,
+              (from, bytes) -> {
+                DatagramDoor door = datagramDoors.get(from);
+                if (door != null) {
+                  door.deliver(bytes);
+                }
+              });
+    } catch (IOException e) {
+      throw new LabException("the stand-in of " + name + " takes no datagrams", e);
+    }
+  }
+
   List<Door> doors() {
     return doors;
   }
@@ -256,6 +300,7 @@
     stopping = false;
     listening = false;
     program = new Program(machine, name, 0, Integer.MAX_VALUE).passingOn();
+    hear();
     world.tell(new Event.ProxyStarted(name));
     world.front().started(name, machine, new InetSocketAddress(machine.address(), PORT));
     long now = ++life;
@@ -408,6 +453,7 @@
       life++;
       if (lab.tamper().keepsClientsOf(name)) {
         program.stopListening();
+        datagrams.close();
         program = null;
       } else {
         processes.forEach(this::end);
@@ -620,6 +666,9 @@
       for (Door door : doors) {
         door.close();
       }
+      for (DatagramDoor door : datagramDoors.values()) {
+        door.close();
+      }
       if (listener != null) {
         listener.close();
       }
--- a/src/main/java/brassbank/sim/fault/LinkKinds.java
+++ b/src/main/java/brassbank/sim/fault/LinkKinds.java
@@ -49,6 +49,28 @@
             "half to one and a half times so many milliseconds more over these links",
             100,
             (ends, fault) -> late(ends, fault)),
+        link(
+            "link-loses",
+            "this share of the datagrams over these links is lost",
+            0.3,
+            (ends, fault) ->
+                new Disturbance() {
+                  @Override
+                  public double losesDatagrams(Machine from, Machine to) {
+                    return ends.has(from, to) ? fault.size() : 0;
+                  }
+                }),
+        link(
+            "link-doubles",
+            "this share of the datagrams over these links comes twice",
+            0.3,
+            (ends, fault) ->
+                new Disturbance() {
+                  @Override
+                  public double doublesDatagrams(Machine from, Machine to) {
+                    return ends.has(from, to) ? fault.size() : 0;
+                  }
+                }),
         link(
             "link-thin",
             "each connection over these links gets so many kilobytes a second",
--- /dev/null
+++ b/src/main/java/brassbank/sim/net/Datagrams.java
@@ -0,0 +1,78 @@
+package brassbank.sim.net;
+
+import brassbank.sim.time.Draws;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * A program's socket for datagrams. Each datagram finds its own way: it may be lost, come twice, or
+ * after one that was sent later, the last only where something is wrong with the way; nobody is
+ * told of it. One that meets no socket is lost.
+ */
+public final class Datagrams {
+  /** What one carries at most; more is turned down, as a way without fragments does. */
+  public static final int MOST_BYTES = 1_472;
+
+  /** Who is told of what comes, on a turn of its program. */
+  public interface Handler {
+    void came(Machine from, byte[] bytes);
+  }
+
+  private final Program program;
+  private final int port;
+  private final Handler handler;
+  private final Draws.Stream stream;
+  private final Map<Machine, Long> lastArrival = new HashMap<>();
+  private boolean open = true;
+
+  Datagrams(Program program, int port, Handler handler) {
+    this.program = program;
+    this.port = port;
+    this.handler = handler;
+    stream = program.machine().fabric().datagrams(program.machine());
+  }
+
+  /**
+   * Sends to the socket at a port of another machine.
+   *
+   * @throws IllegalArgumentException where it is longer than {@link #MOST_BYTES}
+   */
+  public void send(Machine to, int toPort, byte[] bytes) {
+    if (bytes.length > MOST_BYTES) {
+      throw new IllegalArgumentException("a datagram of " + bytes.length + " bytes");
+    }
+    Machine from = program.machine();
+    Fabric fabric = from.fabric();
+    if (!open || to == null || fabric.blocked(from, to) || fabric.loses(from, to, stream)) {
+      return;
+    }
+    byte[] own = bytes.clone();
+    int copies = fabric.doubles(from, to, stream) ? 2 : 1;
+    for (int i = 0; i < copies; i++) {
+      long arrival = fabric.agenda().now() + fabric.latency(from, to, stream);
+      if (!fabric.touched(from, to)) {
+        arrival = Math.max(arrival, lastArrival.getOrDefault(to, 0L));
+        lastArrival.put(to, arrival);
+      }
+      fabric.agenda().at(arrival, () -> to.arrives(from, toPort, own));
+    }
+  }
+
+  void arrives(Machine from, byte[] bytes) {
+    program.later(
+        0,
+        () -> {
+          if (open) {
+            handler.came(from, bytes.clone());
+          }
+        });
+  }
+
+  /** Gives the socket back. */
+  public void close() {
+    if (open) {
+      open = false;
+      program.machine().hearsNoLonger(port);
+    }
+  }
+}
--- a/src/main/java/brassbank/sim/net/Disturbance.java
+++ b/src/main/java/brassbank/sim/net/Disturbance.java
@@ -25,6 +25,16 @@
     return Integer.MAX_VALUE;
   }
 
+  /** Share of the datagrams that are lost. */
+  default double losesDatagrams(Machine from, Machine to) {
+    return 0;
+  }
+
+  /** Share of the datagrams that come twice. */
+  default double doublesDatagrams(Machine from, Machine to) {
+    return 0;
+  }
+
   /** Added to the time that a connect takes, in microseconds. */
   default long connectDelay(Machine from, Machine to) {
     return 0;
--- a/src/main/java/brassbank/sim/net/Fabric.java
+++ b/src/main/java/brassbank/sim/net/Fabric.java
@@ -147,6 +147,41 @@
     return blocked(from, to);
   }
 
+  /** The stream of a machine's datagrams. */
+  Draws.Stream datagrams(Machine from) {
+    return draws.of("datagrams " + from.name());
+  }
+
+  /** Whether anything is wrong with the way from one machine to another now. */
+  boolean touched(Machine from, Machine to) {
+    for (Disturbance disturbance : disturbances) {
+      if (disturbance.touches(from, to)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  boolean loses(Machine from, Machine to, Draws.Stream stream) {
+    for (Disturbance disturbance : disturbances) {
+      double share = disturbance.losesDatagrams(from, to);
+      if (share > 0 && stream.chance(share)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  boolean doubles(Machine from, Machine to, Draws.Stream stream) {
+    for (Disturbance disturbance : disturbances) {
+      double share = disturbance.doublesDatagrams(from, to);
+      if (share > 0 && stream.chance(share)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   boolean refuses(Machine from, Machine to) {
     for (Disturbance disturbance : disturbances) {
       if (disturbance.refuses(from, to)) {
--- a/src/main/java/brassbank/sim/net/Machine.java
+++ b/src/main/java/brassbank/sim/net/Machine.java
@@ -19,6 +19,7 @@
   private final String zone;
   private final InetAddress address;
   private final Map<Integer, Port> listeners = new LinkedHashMap<>();
+  private final Map<Integer, Datagrams> sockets = new LinkedHashMap<>();
   private final Set<Endpoint> endpoints = new LinkedHashSet<>();
   private final Map<String, Long> ways = new HashMap<>();
   private boolean dark;
@@ -62,6 +63,7 @@
     }
     endpoints.clear();
     listeners.clear();
+    sockets.clear();
   }
 
   /** The power is back; whatever still arrives for an old connection is answered by a reset. */
@@ -99,6 +101,24 @@
     }
   }
 
+  void hears(int port, Datagrams socket) {
+    if (sockets.putIfAbsent(port, socket) != null) {
+      throw new IllegalStateException(name + " takes datagrams at " + port + " already");
+    }
+  }
+
+  void hearsNoLonger(int port) {
+    sockets.remove(port);
+  }
+
+  /** A datagram has come; without a socket for it it is lost, and so it is without power. */
+  void arrives(Machine from, int port, byte[] bytes) {
+    Datagrams socket = dark ? null : sockets.get(port);
+    if (socket != null) {
+      socket.arrives(from, bytes);
+    }
+  }
+
   Port listener(int port) {
     return listeners.get(port);
   }
--- a/src/main/java/brassbank/sim/net/Program.java
+++ b/src/main/java/brassbank/sim/net/Program.java
@@ -36,6 +36,7 @@
   private int limit;
   private final Set<Endpoint> open = new LinkedHashSet<>();
   private final Set<Port> listeners = new LinkedHashSet<>();
+  private final Set<Datagrams> sockets = new LinkedHashSet<>();
   private int connecting;
   private int mostDescriptors;
   private boolean alive = true;
@@ -114,7 +115,7 @@
   }
 
   public int descriptors() {
-    return base + open.size() + listeners.size() + connecting;
+    return base + open.size() + listeners.size() + sockets.size() + connecting;
   }
 
   /** The most descriptors it has held so far. */
@@ -165,6 +166,16 @@
     List.copyOf(listeners).forEach(Port::close);
   }
 
+  /** Opens a socket for datagrams at a port of its machine; it ends with the program. */
+  public Datagrams datagrams(int port, Datagrams.Handler handler) throws IOException {
+    require();
+    Datagrams socket = new Datagrams(this, port, handler);
+    machine.hears(port, socket);
+    sockets.add(socket);
+    counted();
+    return socket;
+  }
+
   void closed(Port listener) {
     listeners.remove(listener);
   }
@@ -196,6 +207,8 @@
     if (alive) {
       alive = false;
       stopListening();
+      sockets.forEach(Datagrams::close);
+      sockets.clear();
       List.copyOf(open).forEach(Endpoint::reset);
     }
   }
@@ -208,6 +221,8 @@
     if (alive) {
       alive = false;
       stopListening();
+      sockets.forEach(Datagrams::close);
+      sockets.clear();
       List.copyOf(open).forEach(Endpoint::close);
     }
   }
