--- a/src/main/java/brassbank/lab/LabCommand.java
+++ b/src/main/java/brassbank/lab/LabCommand.java
@@ -23,9 +23,11 @@
     footer = {
       "",
       "Examples:",
-      "  brassbank lab example/fleet-day.toml",
+      "  brassbank lab src/test/resources/lab/one-is-killed.toml",
       "  brassbank lab --night ZONE --seed 7 --logs logs",
-      "  brassbank lab --seed 77 --proxies 5 --trace | less"
+      "  brassbank lab --seed 77 --proxies 5 --trace | less",
+      "",
+      "Exit status 3: the lab itself was late, twice, and nothing is said of the rules."
     })
 public final class LabCommand implements Callable<Integer> {
   private static final int MOST_PROXIES = 64;
@@ -123,6 +125,9 @@
       try {
         Plan read = Script.read(script);
         require(read.proxies() <= MOST_PROXIES, "a lab has at most " + MOST_PROXIES + " proxies");
+        require(
+            read.faults().equals(read.playable().faults()),
+            script + ": clock-step cannot be played on real processes");
         return read;
       } catch (ScriptException e) {
         throw new UsageException(e.getMessage());
--- a/src/test/java/brassbank/lab/LabIT.java
+++ b/src/test/java/brassbank/lab/LabIT.java
@@ -9,6 +9,8 @@
 import brassbank.sim.net.Machine;
 import brassbank.sim.net.Program;
 import brassbank.sim.net.ResetException;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -217,6 +219,41 @@
     assertThat(site.folder()).doesNotExist();
   }
 
+  @Test
+  void tellsItsResultAsJsonAndKeepsTheLogs() throws Exception {
+    Path logs = Files.createTempDirectory("brassbank-logs");
+    Path said = Files.createTempFile("brassbank", ".json");
+    Process lab =
+        new ProcessBuilder(
+                "bin/brassbank",
+                "lab",
+                SCRIPTS.resolve("one-is-killed.toml").toString(),
+                "--json",
+                "--logs",
+                logs.toString())
+            .redirectOutput(said.toFile())
+            .redirectError(ProcessBuilder.Redirect.DISCARD)
+            .start();
+    assertThat(lab.waitFor(90, TimeUnit.SECONDS)).isTrue();
+    assertThat(lab.exitValue()).isZero();
+    JsonObject json = JsonParser.parseString(Files.readString(said)).getAsJsonObject();
+    assertThat(json.get("verdict").getAsString()).isEqualTo("holds");
+    assertThat(json.getAsJsonObject("rules").size()).isGreaterThan(15);
+    assertThat(json.getAsJsonObject("proxies").getAsJsonObject("n1").get("served").getAsInt())
+        .isPositive();
+    try (Stream<Path> files = Files.list(logs)) {
+      assertThat(files.map(file -> file.getFileName().toString()))
+          .contains("n0-1.log", "n1-1.log", "n1-2.log", "n2-1.log");
+    }
+    try (Stream<Path> files = Files.list(logs)) {
+      for (Path file : files.toList()) {
+        Files.delete(file);
+      }
+    }
+    Files.delete(logs);
+    Files.delete(said);
+  }
+
   @Test
   void tellsAFailedStartAndLeavesNothing() throws Exception {
     Path root = Files.createTempDirectory("brassbank-no-root");
