Lab: connections of killed processes are given back when there is time

Cause: the lab closed all their sockets in one turn; their other halves are still reset at once. Ruled out: the ten starts, which come 0.4 s later.

--- a/src/main/java/brassbank/lab/RealProxy.java
+++ b/src/main/java/brassbank/lab/RealProxy.java
@@ -458,7 +458,7 @@
       } else {
         processes.forEach(this::end);
         program.kill();
-        List.copyOf(splices).forEach(Splice::breakBoth);
+        List.copyOf(splices).forEach(splice -> splice.abandon(lab.turner()));
       }
       world.front().died(name);
       world.tell(new Event.ProxyKilled(name, false));
--- a/src/main/java/brassbank/lab/Splice.java
+++ b/src/main/java/brassbank/lab/Splice.java
@@ -210,6 +210,19 @@
     over.accept(this);
   }
 
+  /**
+   * The process is being killed: the other half is reset at once, and this one given back when
+   * there is time. Ten proxies with a thousand connections are killed at one moment.
+   */
+  void abandon(Turner turner) {
+    if (!ended) {
+      ended = true;
+      endpoint.reset();
+      turner.whenIdle(() -> reset(channel));
+      over.accept(this);
+    }
+  }
+
   /** Closes it so that its peer sees a reset. */
   static void reset(SocketChannel channel) {
     try {
--- a/src/main/java/brassbank/lab/Turner.java
+++ b/src/main/java/brassbank/lab/Turner.java
@@ -7,6 +7,8 @@
 import java.nio.channels.SelectableChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.locks.LockSupport;
@@ -26,6 +28,7 @@
   private static final long SHORTEST_SELECT = 2_000;
 
   private static final long LONGEST_SELECT_MILLIS = 20;
+  private static final int IDLE_AT_ONCE = 16;
   private static final long NAP_NANOS = 60_000;
 
   /** Who is told what a socket is ready for. */
@@ -39,6 +42,7 @@
   private final Selector selector;
   private final Queue<Runnable> posted = new ConcurrentLinkedQueue<>();
   private boolean begun;
+  private final Deque<Runnable> idle = new ArrayDeque<>();
   private long origin;
   private long lookedAt;
 
@@ -65,6 +69,11 @@
     selector.wakeup();
   }
 
+  /** Runs a task of the turner's thread when there is time, a few in a turn. */
+  void whenIdle(Runnable task) {
+    idle.add(task);
+  }
+
   /** The channel must not block; whoever registers it closes it. */
   SelectionKey register(SelectableChannel channel, int interest, Ready ready) throws IOException {
     return channel.register(selector, interest, ready);
@@ -90,7 +99,10 @@
       }
     }
     agenda.step(Math.min(now(), agenda.nextDue() - 1));
-    look(agenda.nextDue() - now());
+    for (int i = 0; i < IDLE_AT_ONCE && !idle.isEmpty(); i++) {
+      idle.remove().run();
+    }
+    look(idle.isEmpty() ? agenda.nextDue() - now() : 0);
   }
 
   private void look(long waitMicros) throws IOException {
@@ -117,6 +129,7 @@
 
   @Override
   public void close() throws IOException {
+    idle.forEach(Runnable::run);
     selector.close();
   }
 }
