Lab: lists that two threads read are safe, one way of waiting, nothing that says nothing

The meter's thread read a proxy's processes and logs while the loop's changed them, and would have ended without a word, and the descriptors' rule with it. An upgrade's 6 s left out what the calls waited. Change: copied on write; one wait by the clock for starts and upgrades; lateness had a whose that was always the lab's; losses and doublings of datagrams are drawn by one method. Ruled out: nothing.

--- a/src/main/java/brassbank/lab/Lab.java
+++ b/src/main/java/brassbank/lab/Lab.java
@@ -65,7 +65,7 @@
    * What came of a play.
    *
    * @param counts how often each rule was broken
-   * @param late the lab's worst lateness in microseconds, and {@code lateWho} whose that was
+   * @param late the lab's worst lateness, and {@code lateAt} when that was, in microseconds
    */
   public record Outcome(
       Plan plan,
@@ -79,7 +79,7 @@
       List<String> breachLog,
       long late,
       long lateUsual,
-      String lateWho,
+      long lateAt,
       boolean tooLate) {
 
     public boolean sound() {
@@ -335,7 +335,7 @@
         breaches.isEmpty() ? List.of() : BreachLog.lines(breaches.get(0), lines, tally),
         lateness.most(),
         lateness.usual(),
-        lateness.mostOf(),
+        lateness.mostAt(),
         lateness.tooLate());
   }
 
--- a/src/main/java/brassbank/lab/LabCommand.java
+++ b/src/main/java/brassbank/lab/LabCommand.java
@@ -99,8 +99,8 @@
         Lab.Outcome outcome = lab.play(new LiveLine(notes));
         if (outcome.tooLate() && play == 1) {
           notes.printf(
-              "void: %s was %.0f ms late, %.0f are allowed; it is played again%n",
-              outcome.lateWho(), outcome.late() / 1e3, Lab.LATENESS / 1e3);
+              "void: the lab was %.0f ms late at %.1f s, %.0f are allowed; it is played again%n",
+              outcome.late() / 1e3, Lab.seconds(outcome.lateAt()), Lab.LATENESS / 1e3);
           continue;
         }
         output.println(json ? Report.json(outcome) : Report.text(outcome));
--- a/src/main/java/brassbank/lab/Lateness.java
+++ b/src/main/java/brassbank/lab/Lateness.java
@@ -1,6 +1,5 @@
 package brassbank.lab;
 
-import java.util.Locale;
 import org.HdrHistogram.Histogram;
 
 /**
@@ -21,7 +20,6 @@
   private final long limitMicros;
   private final Histogram histogram = new Histogram(LARGEST_MICROS, DIGITS);
   private long most;
-  private String mostOf = "";
   private long mostAt;
 
   /**
@@ -34,18 +32,8 @@
   /** A task of the lab's ran so many microseconds late. */
   void ran(long now, long micros) {
     histogram.recordValue(Math.min(micros, LARGEST_MICROS));
-    worst(now, micros, "the lab's own thread");
-  }
-
-  /** Somebody else whom the rules' times rest on was kept from running for so long. */
-  void waited(long now, long micros, String who) {
-    worst(now, micros, who);
-  }
-
-  private void worst(long now, long micros, String who) {
     if (now >= FROM && micros > most) {
       most = micros;
-      mostOf = who;
       mostAt = now;
     }
   }
@@ -60,9 +48,9 @@
     return most;
   }
 
-  /** Whose lateness the worst was, and when. */
-  String mostOf() {
-    return String.format(Locale.ROOT, "%s, at %.1f s", mostOf, mostAt / 1e6);
+  /** When that was, in microseconds of the play. */
+  long mostAt() {
+    return mostAt;
   }
 
   /** 99.9% of the lab's own tasks ran no later than this, in microseconds. */
--- a/src/main/java/brassbank/lab/RealProxy.java
+++ b/src/main/java/brassbank/lab/RealProxy.java
@@ -26,6 +26,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.UnaryOperator;
 
@@ -38,6 +40,7 @@
   private static final int PORT = 7_070;
   private static final int BACKLOG = 1_024;
   private static final long MILLI = Agenda.MILLI;
+  private static final long NANOS_PER_MILLI = 1_000_000;
 
   /** SIGKILL comes no earlier than this after SIGTERM, and may come later. */
   private static final long KILL_LEAST = 3_700 * MILLI;
@@ -81,8 +84,11 @@
   private final List<Door> doors = new ArrayList<>();
   private final Map<Machine, DatagramDoor> datagramDoors = new LinkedHashMap<>();
   private final Set<Splice> splices = new LinkedHashSet<>();
-  private final List<ProxyProcess> processes = new ArrayList<>();
-  private final List<Path> logs = new ArrayList<>();
+
+  /** Both are read by the meter's thread as well, and change seldom. */
+  private final List<ProxyProcess> processes = new CopyOnWriteArrayList<>();
+
+  private final List<Path> logs = new CopyOnWriteArrayList<>();
   private final InheritedListener listener;
 
   private ProxyProcess process;
@@ -355,13 +361,24 @@
   }
 
   private boolean listens(ProxyProcess next) throws IOException {
-    for (long waited = 0; next.alive(); waited += ASK_EVERY_MILLIS) {
-      if (waited > START_WITHIN_MILLIS) {
+    InetSocketAddress management = lab.loopback().management(name, next.number());
+    if (!becomes(
+        next,
+        START_WITHIN_MILLIS,
+        () -> listener == null ? Call.listens(address) : saysYes(management))) {
+      if (next.alive()) {
         throw new IOException("it does not listen");
       }
-      if (listener == null
-          ? Call.listens(address)
-          : saysYes(lab.loopback().management(name, next.number()))) {
+      return false;
+    }
+    return true;
+  }
+
+  /** Asks again and again, for so long and while the process lives; on a helper's thread. */
+  private boolean becomes(ProxyProcess next, long millis, BooleanSupplier asked) {
+    long until = lab.turner().nanos() + millis * NANOS_PER_MILLI;
+    while (next.alive() && lab.turner().nanos() < until) {
+      if (asked.getAsBoolean()) {
         return true;
       }
       Helpers.pause(ASK_EVERY_MILLIS);
@@ -569,14 +586,7 @@
 
   private boolean upgraded(ProxyProcess next) {
     InetSocketAddress management = lab.loopback().management(name, next.number());
-    for (long waited = 0; next.alive() && waited < YES_WITHIN_MILLIS; ) {
-      if (saysYes(management)) {
-        return true;
-      }
-      Helpers.pause(ASK_EVERY_MILLIS);
-      waited += ASK_EVERY_MILLIS;
-    }
-    return false;
+    return becomes(next, YES_WITHIN_MILLIS, () -> saysYes(management));
   }
 
   private void leave(ProxyProcess old) {
--- a/src/main/java/brassbank/lab/Report.java
+++ b/src/main/java/brassbank/lab/Report.java
@@ -58,12 +58,12 @@
     text.append(
         String.format(
             Locale.ROOT,
-            "%nseed %d: %s; the lab was %.1f ms late at most (%s), %.1f ms at 99.9%%, and used"
+            "%nseed %d: %s; the lab was %.1f ms late at most (at %.1f s), %.1f ms at 99.9%%, and used"
                 + " %.1f s of processor time",
             outcome.plan().seed(),
             verdict(outcome),
             outcome.late() / 1e3,
-            outcome.lateWho(),
+            Lab.seconds(outcome.lateAt()),
             outcome.lateUsual() / 1e3,
             outcome.labProcessorSeconds()));
     return text.toString();
@@ -82,7 +82,7 @@
     json.addProperty("verdict", outcome.tooLate() ? "void" : outcome.sound() ? "holds" : "broken");
     json.addProperty("served_share", Math.round(outcome.share() * 1e5) / 1e5);
     json.addProperty("late_most_ms", outcome.late() / 1e3);
-    json.addProperty("late_of", outcome.lateWho());
+    json.addProperty("late_most_at_s", Lab.seconds(outcome.lateAt()));
     json.addProperty("late_99_9_ms", outcome.lateUsual() / 1e3);
     json.addProperty("lab_processor_s", Math.round(outcome.labProcessorSeconds() * 10) / 10.0);
     JsonObject rules = new JsonObject();
--- a/src/main/java/brassbank/lab/Turner.java
+++ b/src/main/java/brassbank/lab/Turner.java
@@ -15,8 +15,8 @@
 
 /**
  * Turns an agenda by the monotonic clock, and real sockets beside it, on the calling thread. How
- * late each task of the agenda ran is measured. Only {@link #post} may be called from other
- * threads.
+ * late each task of the agenda ran is measured. Only {@link #post} and {@link #nanos} may be called
+ * from other threads.
  */
 final class Turner implements AutoCloseable {
   private static final long NANOS_PER_MICRO = 1_000;
@@ -63,6 +63,11 @@
     return (clock.nanos() - origin) / NANOS_PER_MICRO;
   }
 
+  /** The monotonic clock; from any thread. */
+  long nanos() {
+    return clock.nanos();
+  }
+
   /** Runs a task on the turner's thread, soon; from any thread. */
   void post(Runnable task) {
     posted.add(task);
--- a/src/main/java/brassbank/sim/net/Fabric.java
+++ b/src/main/java/brassbank/sim/net/Fabric.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BiPredicate;
+import java.util.function.ToDoubleFunction;
 
 /**
  * All machines and the ways between them. A way's latency is drawn once for each pair of machines;
@@ -163,19 +164,18 @@
   }
 
   boolean loses(Machine from, Machine to, Draws.Stream stream) {
-    for (Disturbance disturbance : disturbances) {
-      double share = disturbance.losesDatagrams(from, to);
-      if (share > 0 && stream.chance(share)) {
-        return true;
-      }
-    }
-    return false;
+    return drawn(stream, one -> one.losesDatagrams(from, to));
   }
 
   boolean doubles(Machine from, Machine to, Draws.Stream stream) {
+    return drawn(stream, one -> one.doublesDatagrams(from, to));
+  }
+
+  /** Whether one of the disturbances strikes, each by its share. */
+  private boolean drawn(Draws.Stream stream, ToDoubleFunction<Disturbance> share) {
     for (Disturbance disturbance : disturbances) {
-      double share = disturbance.doublesDatagrams(from, to);
-      if (share > 0 && stream.chance(share)) {
+      double likely = share.applyAsDouble(disturbance);
+      if (likely > 0 && stream.chance(likely)) {
         return true;
       }
     }
--- a/src/test/java/brassbank/lab/LabIT.java
+++ b/src/test/java/brassbank/lab/LabIT.java
@@ -50,7 +50,7 @@
         Lab.Outcome outcome = lab.play(watcher);
         if (!outcome.tooLate() || play == 2) {
           assertThat(outcome.tooLate())
-              .as("void, twice: %s was %d us late", outcome.lateWho(), outcome.late())
+              .as("void, twice: %d us late at %d", outcome.late(), outcome.lateAt())
               .isFalse();
           return outcome;
         }
