--- /dev/null
+++ b/src/main/java/brassbank/membership/Update.java
@@ -0,0 +1,49 @@
+package brassbank.membership;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+
+/**
+ * What one member tells another of a third, or of itself.
+ *
+ * @param age for how long the state has held where it comes from, in seconds, {@link #MOST_AGE} at
+ *     most; clocks are not compared
+ * @param by who suspects it or saw it dead; empty for the other states
+ */
+public record Update(
+    String name,
+    InetSocketAddress address,
+    String zone,
+    Incarnation incarnation,
+    State state,
+    Activity activity,
+    int age,
+    String by) {
+  /** Bytes of a name or a zone, in UTF-8. */
+  public static final int MOST_NAME = 63;
+
+  public static final int MOST_AGE = 65_535;
+
+  /** Bytes that do not depend on what is told. */
+  private static final int FIXED = 1 + 1 + 1 + 2 + 8 + 4 + 1 + 2 + 1;
+
+  /** Bytes it takes in a datagram. */
+  public int size() {
+    return FIXED
+        + length(name)
+        + length(zone)
+        + length(by)
+        + (address.getAddress().getAddress().length);
+  }
+
+  private static int length(String text) {
+    return text.getBytes(StandardCharsets.UTF_8).length;
+  }
+
+  /** Whether a name or a zone may be told: some visible ASCII, and not too much of it. */
+  public static boolean nameable(String text) {
+    return !text.isEmpty()
+        && text.length() <= MOST_NAME
+        && text.chars().allMatch(c -> c > ' ' && c < 0x7f && c != '"' && c != '\\');
+  }
+}
--- /dev/null
+++ b/src/main/java/brassbank/membership/wire/Codec.java
@@ -0,0 +1,203 @@
+package brassbank.membership.wire;
+
+import brassbank.membership.Activity;
+import brassbank.membership.Incarnation;
+import brassbank.membership.Message;
+import brassbank.membership.State;
+import brassbank.membership.Update;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.nio.BufferUnderflowException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.zip.CRC32C;
+
+/** Writes and reads the datagrams of one fleet. Any thread may use one codec. */
+public final class Codec {
+  /** What each datagram begins with. */
+  static final short MARK = (short) 0xB5A7;
+
+  static final byte VERSION = 1;
+
+  private static final int CHECKSUM = 4;
+  private static final int LEAST_BYTES = Message.FIXED + 20;
+
+  private static final Message.Kind[] KINDS = Message.Kind.values();
+  private static final State[] STATES = State.values();
+  private static final Activity[] ACTIVITIES = Activity.values();
+
+  private final long fleet;
+
+  /**
+   * @param fleet the fleet's name; what comes from another one is dropped
+   */
+  public Codec(String fleet) {
+    this.fleet = number(fleet);
+  }
+
+  /** FNV-1a, 64 bits, over the name's UTF-8. */
+  private static long number(String name) {
+    long hash = 0xcbf29ce484222325L;
+    for (byte b : name.getBytes(StandardCharsets.UTF_8)) {
+      hash = (hash ^ (b & 0xff)) * 0x100000001b3L;
+    }
+    return hash;
+  }
+
+  /** The bytes of a message; throws IllegalArgumentException where they are too many. */
+  public byte[] write(Message message) {
+    ByteBuffer to = ByteBuffer.allocate(Message.MOST_BYTES);
+    try {
+      to.putShort(MARK).put(VERSION).put((byte) message.kind().ordinal()).putLong(fleet);
+      to.putInt(message.sequence()).putLong(message.digest());
+      text(to, message.target());
+      to.put((byte) message.updates().size());
+      update(to, message.sender());
+      message.updates().forEach(one -> update(to, one));
+      to.putInt(checksum(to.array(), to.position()));
+    } catch (java.nio.BufferOverflowException e) {
+      throw new IllegalArgumentException("a message of more than " + Message.MOST_BYTES, e);
+    }
+    byte[] bytes = new byte[to.flip().remaining()];
+    to.get(bytes);
+    return bytes;
+  }
+
+  private static void text(ByteBuffer to, String text) {
+    byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+    if (bytes.length > Update.MOST_NAME) {
+      throw new IllegalArgumentException("a name of " + bytes.length + " bytes");
+    }
+    to.put((byte) bytes.length).put(bytes);
+  }
+
+  private static void update(ByteBuffer to, Update update) {
+    text(to, update.name());
+    byte[] address = update.address().getAddress().getAddress();
+    to.put((byte) address.length).put(address).putShort((short) update.address().getPort());
+    text(to, update.zone());
+    to.putLong(update.incarnation().birth()).putInt(update.incarnation().raised());
+    to.put((byte) (update.state().ordinal() << 4 | update.activity().ordinal()));
+    to.putShort((short) update.age());
+    text(to, update.by());
+  }
+
+  private static int checksum(byte[] bytes, int length) {
+    CRC32C sum = new CRC32C();
+    sum.update(bytes, 0, length);
+    return (int) sum.getValue();
+  }
+
+  /** The message in a datagram, all of whose fields are within their bounds. */
+  public Message read(byte[] bytes) throws RefusedException {
+    ByteBuffer from = ByteBuffer.wrap(bytes);
+    if (bytes.length < LEAST_BYTES
+        || bytes.length > Message.MOST_BYTES
+        || from.getShort() != MARK) {
+      throw new RefusedException(Refused.FOREIGN, bytes.length + " bytes that are no message");
+    }
+    int end = bytes.length - CHECKSUM;
+    if (from.getInt(end) != checksum(bytes, end)) {
+      throw new RefusedException(Refused.DAMAGED, "cut off or damaged");
+    }
+    byte version = from.get();
+    if (version != VERSION) {
+      throw new RefusedException(Refused.VERSION, "version " + version);
+    }
+    from.limit(end);
+    try {
+      Message.Kind kind = one(KINDS, from.get(), "kind");
+      if (from.getLong() != fleet) {
+        throw new RefusedException(Refused.FLEET, "another fleet's");
+      }
+      int sequence = from.getInt();
+      long digest = from.getLong();
+      String target = name(from, true);
+      int count = from.get();
+      if (count < 0 || count > Message.MOST_UPDATES) {
+        throw malformed(count + " updates");
+      }
+      Update sender = update(from);
+      List<Update> updates = new ArrayList<>(count);
+      for (int i = 0; i < count; i++) {
+        updates.add(update(from));
+      }
+      if (from.hasRemaining()) {
+        throw malformed(from.remaining() + " bytes after its end");
+      }
+      return new Message(kind, sequence, sender, digest, target, updates);
+    } catch (BufferUnderflowException e) {
+      throw malformed("ends before its end");
+    }
+  }
+
+  private static RefusedException malformed(String what) {
+    return new RefusedException(Refused.MALFORMED, what);
+  }
+
+  private static <T> T one(T[] all, int number, String what) throws RefusedException {
+    if (number < 0 || number >= all.length) {
+      throw malformed(what + " " + number);
+    }
+    return all[number];
+  }
+
+  private static String name(ByteBuffer from, boolean mayBeEmpty) throws RefusedException {
+    int length = from.get();
+    if (length < 0 || length > Update.MOST_NAME) {
+      throw malformed("a name of " + length + " bytes");
+    }
+    byte[] bytes = new byte[length];
+    from.get(bytes);
+    String name = new String(bytes, StandardCharsets.US_ASCII);
+    if (!(length == 0 ? mayBeEmpty : Update.nameable(name))) {
+      throw malformed("a name that is none");
+    }
+    return name;
+  }
+
+  private static Update update(ByteBuffer from) throws RefusedException {
+    String name = name(from, false);
+    int length = from.get();
+    if (length != 4 && length != 16) {
+      throw malformed("an address of " + length + " bytes");
+    }
+    byte[] address = new byte[length];
+    from.get(address);
+    int port = from.getShort() & 0xffff;
+    if (port == 0) {
+      throw malformed("port 0");
+    }
+    String zone = name(from, true);
+    long birth = from.getLong();
+    int raised = from.getInt();
+    // Beyond the bound nobody could contradict it any more.
+    if (birth < 0
+        || birth >= Incarnation.MOST_BIRTH
+        || raised < 0
+        || raised >= Incarnation.MOST_RAISED) {
+      throw malformed("incarnation " + birth + "." + raised);
+    }
+    int both = from.get() & 0xff;
+    State state = one(STATES, both >> 4, "state");
+    Activity activity = one(ACTIVITIES, both & 0xf, "activity");
+    int age = from.getShort() & 0xffff;
+    String by = name(from, true);
+    try {
+      return new Update(
+          name,
+          new InetSocketAddress(InetAddress.getByAddress(address), port),
+          zone,
+          new Incarnation(birth, raised),
+          state,
+          activity,
+          age,
+          by);
+    } catch (UnknownHostException e) {
+      throw malformed("no address");
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/brassbank/membership/wire/CodecTest.java
@@ -0,0 +1,131 @@
+package brassbank.membership.wire;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.catchThrowableOfType;
+
+import brassbank.membership.Activity;
+import brassbank.membership.Incarnation;
+import brassbank.membership.Message;
+import brassbank.membership.State;
+import brassbank.membership.Update;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.zip.CRC32C;
+import org.junit.jupiter.api.Test;
+
+class CodecTest {
+  private final Codec codec = new Codec("leith");
+
+  private static Update update(SplittableRandom random) throws Exception {
+    byte[] address = new byte[random.nextBoolean() ? 4 : 16];
+    random.nextBytes(address);
+    State state = State.values()[random.nextInt(4)];
+    return new Update(
+        "n".repeat(1 + random.nextInt(Update.MOST_NAME)),
+        new InetSocketAddress(InetAddress.getByAddress(address), 1 + random.nextInt(65_535)),
+        random.nextBoolean() ? "" : "leith",
+        new Incarnation(random.nextLong(Incarnation.MOST_BIRTH), random.nextInt(1 << 30)),
+        state,
+        Activity.values()[random.nextInt(5)],
+        random.nextInt(Update.MOST_AGE + 1),
+        random.nextBoolean() ? "" : "n4");
+  }
+
+  /** A message with as much in it as goes into a datagram. */
+  private static Message message(SplittableRandom random) throws Exception {
+    Update sender = update(random);
+    List<Update> updates = new ArrayList<>();
+    int room = Message.MOST_BYTES - Message.FIXED - sender.size() - 1;
+    for (Update one = update(random);
+        room >= one.size() && updates.size() < Message.MOST_UPDATES;
+        one = update(random)) {
+      updates.add(one);
+      room -= one.size();
+    }
+    return new Message(
+        Message.Kind.values()[random.nextInt(7)],
+        random.nextInt(),
+        sender,
+        random.nextLong(),
+        "",
+        updates);
+  }
+
+  @Test
+  void readsWhatItWrote() throws Exception {
+    SplittableRandom random = new SplittableRandom(1);
+    for (int i = 0; i < 500; i++) {
+      Message message = message(random);
+      byte[] bytes = codec.write(message);
+      assertThat(bytes.length).isLessThanOrEqualTo(Message.MOST_BYTES);
+      // IPv6 addresses that stand for IPv4 ones are read as these: equal as addresses go.
+      assertThat(codec.read(bytes).updates()).hasSameSizeAs(message.updates());
+      assertThat(codec.write(codec.read(bytes))).hasSizeLessThanOrEqualTo(bytes.length);
+    }
+    Update plain =
+        new Update(
+            "n1",
+            new InetSocketAddress("10.0.0.7", 7070),
+            "leith",
+            new Incarnation(7, 3),
+            State.SUSPECT,
+            Activity.DRAINING,
+            12,
+            "n2");
+    Message message = new Message(Message.Kind.ASK, 9, plain, -5, "n3", List.of(plain, plain));
+    assertThat(codec.read(codec.write(message))).isEqualTo(message);
+  }
+
+  private Refused why(byte[] bytes) {
+    RefusedException refused =
+        catchThrowableOfType(RefusedException.class, () -> codec.read(bytes));
+    return refused == null ? null : refused.why();
+  }
+
+  @Test
+  void dropsWhatIsCutAtAnyByteOrChangedInAny() throws Exception {
+    byte[] whole = codec.write(message(new SplittableRandom(2)));
+    for (int length = 0; length < whole.length; length++) {
+      assertThat(why(Arrays.copyOf(whole, length))).isIn(Refused.FOREIGN, Refused.DAMAGED);
+    }
+    for (int at = 0; at < whole.length; at++) {
+      byte[] changed = whole.clone();
+      changed[at] ^= 0x40;
+      assertThat(why(changed)).isIn(Refused.FOREIGN, Refused.DAMAGED);
+    }
+    assertThat(why(Arrays.copyOf(whole, Message.MOST_BYTES + 1))).isEqualTo(Refused.FOREIGN);
+    assertThat(why(new Codec("dalkeith").write(message(new SplittableRandom(3)))))
+        .isEqualTo(Refused.FLEET);
+  }
+
+  /** The checksum is right and the content is not: nothing but a refusal comes of it. */
+  @Test
+  void dropsWhatIsWholeAndMalformed() throws Exception {
+    SplittableRandom random = new SplittableRandom(4);
+    int malformed = 0;
+    for (int i = 0; i < 20_000; i++) {
+      byte[] bytes = codec.write(message(random));
+      for (int k = 0; k < 4; k++) {
+        bytes[12 + random.nextInt(bytes.length - 16)] = (byte) random.nextInt();
+      }
+      malformed += why(signed(bytes)) == Refused.MALFORMED ? 1 : 0;
+    }
+    assertThat(malformed).isBetween(2_000, 19_999);
+    byte[] newer = codec.write(message(random));
+    newer[2] = 2;
+    assertThat(why(signed(newer))).isEqualTo(Refused.VERSION);
+  }
+
+  static byte[] signed(byte[] bytes) {
+    CRC32C sum = new CRC32C();
+    sum.update(bytes, 0, bytes.length - 4);
+    for (int i = 0; i < 4; i++) {
+      bytes[bytes.length - 4 + i] = (byte) (sum.getValue() >>> (24 - 8 * i));
+    }
+    return bytes;
+  }
+}
