--- a/src/main/java/brassbank/Commands.java
+++ b/src/main/java/brassbank/Commands.java
@@ -3,6 +3,7 @@
 import brassbank.lab.LabCommand;
 import brassbank.load.LoadCommand;
 import brassbank.sim.cli.SimulateCommand;
+import brassbank.sim.members.MembersDrillCommand;
 import java.util.List;
 import java.util.concurrent.Callable;
 
@@ -19,9 +20,11 @@
     return List.of(
         new ServeCommand(),
         new CheckCommand(),
+        new MembersCommand(),
         new DrillCommand(),
         new LoadCommand(),
         new SimulateCommand(),
-        new LabCommand());
+        new LabCommand(),
+        new MembersDrillCommand());
   }
 }
--- a/src/main/java/brassbank/OwnOptions.java
+++ b/src/main/java/brassbank/OwnOptions.java
@@ -1,8 +1,11 @@
 package brassbank;
 
+import brassbank.config.Config;
 import brassbank.config.file.Options;
 import brassbank.config.file.OptionsFile;
 import brassbank.config.file.Problem;
+import brassbank.membership.Joining;
+import brassbank.membership.Update;
 import brassbank.relay.limits.RelayLimits;
 import java.nio.file.Path;
 import java.util.List;
@@ -38,20 +41,46 @@
     }
   }
 
-  /** Reads the file, now: what it says of slow peers. */
-  RelayLimits relay() throws UnusableException {
-    return file == null ? RelayLimits.NONE : Reading.relay(file);
+  /**
+   * What it says.
+   *
+   * @param joining null where it says nothing of a fleet
+   */
+  record Said(RelayLimits relay, Joining joining) {
+    static final Said NOTHING = new Said(RelayLimits.NONE, null);
+  }
+
+  /** Reads the file, now. */
+  Said read(Config config) throws UnusableException {
+    return file == null ? Said.NOTHING : Reading.read(file, config);
   }
 
   /** Apart from the above, so that the verifier needs none of its types where there is no file. */
   private static final class Reading {
-    static RelayLimits relay(Path file) throws UnusableException {
+    static Said read(Path file, Config config) throws UnusableException {
       OptionsFile.Result result = OptionsFile.read(file);
       if (result.options().isEmpty()) {
         throw new UnusableException(result.problems().stream().map(Problem::toString).toList());
       }
       Options options = result.options().get();
-      return options.relay();
+      return new Said(
+          options.relay(),
+          options.joining() == null ? null : usable(file, options.joining(), config));
+    }
+
+    private static Joining usable(Path file, Joining joining, Config config)
+        throws UnusableException {
+      Joining whole = joining.at(config.listen());
+      if (whole.advertised().getAddress().isAnyLocalAddress()) {
+        throw new UnusableException(
+            List.of(
+                file + ": membership.advertise is needed where datagrams are taken everywhere"));
+      }
+      if (!Update.nameable(config.name())) {
+        throw new UnusableException(
+            List.of(file + ": the proxy's name cannot be a member's: " + config.name()));
+      }
+      return whole;
     }
   }
 }
--- a/src/main/java/brassbank/ServeCommand.java
+++ b/src/main/java/brassbank/ServeCommand.java
@@ -13,7 +13,6 @@
 import brassbank.log.Log;
 import brassbank.net.InheritanceException;
 import brassbank.proxy.Proxy;
-import brassbank.relay.limits.RelayLimits;
 import brassbank.sources.Clock;
 import brassbank.sources.SystemClock;
 import java.io.IOException;
@@ -77,10 +76,10 @@
     Log.install(new Console(System.err, format, clock));
     OwnOptions own = new OwnOptions(options);
     Config config;
-    RelayLimits limits;
+    OwnOptions.Said said;
     try {
       config = Config.read(System.getenv());
-      limits = own.relay();
+      said = own.read(config);
     } catch (ConfigException e) {
       System.err.println("brassbank: " + e.getMessage());
       return Exit.USAGE;
@@ -93,7 +92,7 @@
     }
     Proxy proxy;
     try {
-      proxy = new Proxy(config, limits, new GrizzlyNetwork(clock));
+      proxy = new Proxy(config, said.relay(), said.joining(), new GrizzlyNetwork(clock));
       proxy.start();
     } catch (InheritanceException e) {
       System.err.println("brassbank: LB_LISTEN_FD: " + e.getMessage());
@@ -165,7 +164,8 @@
   private static Config reload(Proxy proxy, OwnOptions own, Config inForce) {
     try {
       Config next = Config.reread(System.getenv(), inForce);
-      proxy.reload(next, own.relay());
+      OwnOptions.Said said = own.read(next);
+      proxy.reload(next, said.relay(), said.joining());
       return next;
     } catch (ConfigException e) {
       LOG.warn("reload-refused", value("reason", e.getMessage()));
--- /dev/null
+++ b/src/main/java/brassbank/config/file/Addresses.java
@@ -0,0 +1,52 @@
+package brassbank.config.file;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** Addresses with their ports, as a file has them; they have no order. */
+record Addresses(List<InetSocketAddress> all) implements Comparable<Addresses> {
+  private static final Pattern FORM =
+      Pattern.compile("(\\d{1,3}(?:\\.\\d{1,3}){3}|\\[[0-9a-fA-F:.]{2,45}\\]):(\\d{1,5})");
+
+  private static final int MOST_PORT = 65_535;
+
+  Addresses {
+    all = List.copyOf(all);
+  }
+
+  /** Throws IllegalArgumentException where it is none; a name is none. */
+  static InetSocketAddress one(String text) {
+    Matcher parts = FORM.matcher(text);
+    if (!parts.matches()) {
+      throw new IllegalArgumentException();
+    }
+    int port = Integer.parseInt(parts.group(2));
+    if (port == 0 || port > MOST_PORT) {
+      throw new IllegalArgumentException();
+    }
+    try {
+      return new InetSocketAddress(InetAddress.getByName(parts.group(1)), port);
+    } catch (UnknownHostException e) {
+      throw new IllegalArgumentException(e);
+    }
+  }
+
+  /** The one that there is. */
+  InetSocketAddress one() {
+    return all.get(0);
+  }
+
+  @Override
+  public int compareTo(Addresses other) {
+    return Integer.compare(all.size(), other.all.size());
+  }
+
+  @Override
+  public String toString() {
+    return all.toString();
+  }
+}
--- a/src/main/java/brassbank/config/file/Keys.java
+++ b/src/main/java/brassbank/config/file/Keys.java
@@ -88,6 +88,60 @@
 
   static final Side TARGET = new Side("relay.target", "host", "client");
 
+  static {
+    table(
+        "membership",
+        "The fleet that this proxy is in, off where the table is not there. docs/membership.md says"
+            + " how to switch it on and what it tells.");
+  }
+
+  static final Key<String> FLEET =
+      key(
+          "membership.fleet",
+          Kind.name(),
+          null,
+          "The fleet's name; what comes from another one is dropped.");
+
+  static final Key<Addresses> LISTEN =
+      key(
+          "membership.listen",
+          Kind.address(),
+          null,
+          "Where datagrams are taken (UDP); the address and port that clients come to if it is not"
+              + " given.");
+
+  static final Key<Addresses> ADVERTISE =
+      key(
+          "membership.advertise",
+          Kind.address(),
+          null,
+          "Where the others meet this proxy, where that is not `listen`.");
+
+  static final Key<Addresses> SEEDS =
+      key(
+          "membership.seeds",
+          Kind.addresses(),
+          new Addresses(List.of()),
+          "Where others may be, some of the fleet; the proxy's own among them does no harm. SIGHUP"
+              + " reads it again, and nothing else of this table.");
+
+  static final Key<Long> SUSPICION =
+      key(
+          "membership.suspicion",
+          Kind.time(500 * MILLI, 60 * SECOND),
+          SECOND,
+          "How long a silent member has at least to be heard of, in a fleet of up to ten; it grows"
+              + " with the logarithm of the size. Less finds deaths sooner and takes stops for"
+              + " them.");
+
+  static final Key<Long> FORGET =
+      key(
+          "membership.forget",
+          Kind.time(60 * SECOND, 24 * HOUR),
+          HOUR,
+          "For how long the dead and those that left are remembered, and asked whether they are"
+              + " back.");
+
   /** The keys that both sides of a session have. */
   static final class Side {
     final Key<Long> waiting;
--- a/src/main/java/brassbank/config/file/Kind.java
+++ b/src/main/java/brassbank/config/file/Kind.java
@@ -1,7 +1,11 @@
 package brassbank.config.file;
 
+import brassbank.membership.Update;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.function.Function;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -61,7 +65,7 @@
     } catch (IllegalArgumentException e) {
       throw new IllegalArgumentException("must be " + form());
     }
-    if (value.compareTo(least) < 0 || value.compareTo(most) > 0) {
+    if (least != null && (value.compareTo(least) < 0 || value.compareTo(most) > 0)) {
       throw new IllegalArgumentException(
           "must be from " + written(least) + " to " + written(most) + ", not " + written(value));
     }
@@ -70,7 +74,77 @@
 
   /** What it may be between, as a file has it. */
   final String range() {
-    return written(least) + " to " + written(most);
+    return least == null ? form() : written(least) + " to " + written(most);
+  }
+
+  /** A name of visible ASCII, as it is told to others. */
+  static Kind<String> name() {
+    return new Kind<>(null, null) {
+      @Override
+      String form() {
+        return "a name of 1 to 63 visible characters";
+      }
+
+      @Override
+      String taken(Object toml) {
+        if (!(toml instanceof String text) || !Update.nameable(text)) {
+          throw new IllegalArgumentException();
+        }
+        return text;
+      }
+
+      @Override
+      String written(String value) {
+        return '"' + value + '"';
+      }
+    };
+  }
+
+  /** One address with its port; no name is looked up. */
+  static Kind<Addresses> address() {
+    return addresses(
+        "an address such as \"10.0.0.7:7075\"",
+        toml -> toml instanceof String text ? List.of(Addresses.one(text)) : null);
+  }
+
+  /** Some of them. */
+  static Kind<Addresses> addresses() {
+    return addresses(
+        "a list of at most 64 addresses such as [\"10.0.0.7:7075\"]",
+        toml -> {
+          if (!(toml instanceof List<?> all) || all.size() > 64) {
+            return null;
+          }
+          List<InetSocketAddress> read = new ArrayList<>();
+          for (Object one : all) {
+            read.add(Addresses.one(String.valueOf(one)));
+          }
+          return read;
+        });
+  }
+
+  private static Kind<Addresses> addresses(
+      String form, Function<Object, List<InetSocketAddress>> reader) {
+    return new Kind<>(null, null) {
+      @Override
+      String form() {
+        return form;
+      }
+
+      @Override
+      Addresses taken(Object toml) {
+        List<InetSocketAddress> all = reader.apply(toml);
+        if (all == null) {
+          throw new IllegalArgumentException();
+        }
+        return new Addresses(all);
+      }
+
+      @Override
+      String written(Addresses value) {
+        return value.toString();
+      }
+    };
   }
 
   /** Bytes: a whole number and its unit. */
--- a/src/main/java/brassbank/config/file/Options.java
+++ b/src/main/java/brassbank/config/file/Options.java
@@ -1,5 +1,7 @@
 package brassbank.config.file;
 
+import brassbank.membership.Joining;
+import brassbank.membership.Settings;
 import brassbank.relay.limits.RelayLimits;
 import brassbank.relay.limits.SideLimits;
 import java.util.Map;
@@ -8,15 +10,39 @@
  * What a good file says.
  *
  * @param relay how sessions are passed on, and what slow peers may cost
+ * @param joining how the proxy becomes a member of its fleet; null for none
  */
-public record Options(RelayLimits relay) {
+public record Options(RelayLimits relay, Joining joining) {
   /** Who is told of values that are good by themselves and bad together. */
   interface Problems {
     void problem(int line, String text);
   }
 
   static Options of(Values values, Problems problems) {
-    return new Options(relay(values, problems));
+    return new Options(relay(values, problems), joining(values, problems));
+  }
+
+  private static Joining joining(Values values, Problems problems) {
+    String fleet = values.get(Keys.FLEET);
+    int line = values.line(Keys.LISTEN, Keys.ADVERTISE, Keys.SEEDS, Keys.SUSPICION, Keys.FORGET);
+    if (fleet == null) {
+      if (line > 0) {
+        problems.problem(line, "membership.fleet is missing, without which there is no membership");
+      }
+      return null;
+    }
+    Addresses listen = values.get(Keys.LISTEN);
+    Addresses advertised = values.get(Keys.ADVERTISE);
+    if (advertised != null && advertised.one().getAddress().isAnyLocalAddress()) {
+      problems.problem(
+          values.line(Keys.ADVERTISE), "membership.advertise must be one machine's address");
+    }
+    return new Joining(
+        fleet,
+        listen == null ? null : listen.one(),
+        advertised == null ? null : advertised.one(),
+        values.get(Keys.SEEDS).all(),
+        Settings.USUAL.suspicion(values.get(Keys.SUSPICION)).forget(values.get(Keys.FORGET)));
   }
 
   private static RelayLimits relay(Values values, Problems problems) {
--- a/src/main/java/brassbank/config/file/OptionsFile.java
+++ b/src/main/java/brassbank/config/file/OptionsFile.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.tomlj.Toml;
+import org.tomlj.TomlArray;
 import org.tomlj.TomlParseError;
 import org.tomlj.TomlParseResult;
 import org.tomlj.TomlTable;
@@ -120,7 +121,11 @@
     Optional<Key<?>> key = Keys.all().stream().filter(any -> any.matches(path)).findFirst();
     if (key.isPresent()) {
       try {
-        values.put(path, key.get().kind().read(entry.getValue()), line);
+        Object value = entry.getValue();
+        values.put(
+            path,
+            key.get().kind().read(value instanceof TomlArray all ? all.toList() : value),
+            line);
       } catch (IllegalArgumentException e) {
         problem(line, Toml.joinKeyPath(path) + " " + e.getMessage());
       }
--- a/src/main/java/brassbank/config/file/Reference.java
+++ b/src/main/java/brassbank/config/file/Reference.java
@@ -13,7 +13,8 @@
         "`serve --config FILE` reads a file of these keys beside the platform's JSON, at\n");
     page.append(
         "the start and at each SIGHUP; `brassbank check FILE` tells all that is wrong with\n");
-    page.append("one. Every key may be left out. `deploy/brassbank.toml` is an example.\n");
+    page.append(
+        "one. Every key may be left out; without `membership.fleet` there is no membership.\n`deploy/brassbank.toml` and `deploy/membership.toml` are examples.\n");
     Keys.tables()
         .forEach(
             (table, text) -> {
--- /dev/null
+++ b/src/main/java/brassbank/fleet/Fleet.java
@@ -0,0 +1,220 @@
+package brassbank.fleet;
+
+import brassbank.membership.Activity;
+import brassbank.membership.Change;
+import brassbank.membership.Incarnation;
+import brassbank.membership.Joining;
+import brassbank.membership.Membership;
+import brassbank.membership.Message;
+import brassbank.membership.Outbox;
+import brassbank.membership.State;
+import brassbank.membership.Update;
+import brassbank.membership.View;
+import brassbank.membership.wire.Codec;
+import brassbank.membership.wire.RefusedException;
+import brassbank.net.Loop;
+import brassbank.net.Net;
+import brassbank.net.Network;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+
+/**
+ * This program in its fleet. Everything is for the loop's thread. Nobody waits for it: a fleet that
+ * cannot be met is a fleet of one.
+ */
+public final class Fleet {
+  private static final long NANOS_PER_MICRO = 1_000;
+
+  /** An address that is in use, by a predecessor that has not gone yet, is asked for again. */
+  private static final long OPEN_AGAIN = 100_000;
+
+  /** Births of one millisecond differ by chance. */
+  private static final int BIRTH_SHIFT = 12;
+
+  private final Net net;
+  private final Joining joining;
+  private final String name;
+  private final String zone;
+  private final RandomGenerator chance;
+  private final Supplier<Activity> activity;
+  private final Codec codec;
+  private final Journal journal = new Journal();
+  private final Traffic traffic = new Traffic();
+  private final List<Consumer<Change>> listeners = new ArrayList<>();
+  private final Outbox outbox = new Out();
+
+  private Network.Datagrams socket;
+  private Membership membership;
+  private Loop.Timer timer;
+  private boolean wanted;
+  private boolean told;
+
+  /**
+   * @param joining with both addresses
+   * @param name unique in the fleet
+   * @param activity what this program does, asked on each beat
+   */
+  public Fleet(
+      Net net,
+      Joining joining,
+      String name,
+      String zone,
+      RandomGenerator chance,
+      Supplier<Activity> activity) {
+    this.net = net;
+    this.joining = joining;
+    this.name = name;
+    this.zone = zone;
+    this.chance = chance;
+    this.activity = activity;
+    codec = new Codec(joining.fleet());
+  }
+
+  private long now() {
+    return net.clock().nanos() / NANOS_PER_MICRO;
+  }
+
+  /** Joins, as soon as the address is free; the second call does nothing. */
+  public void open() {
+    if (!wanted) {
+      wanted = true;
+      tryToOpen();
+    }
+  }
+
+  private void tryToOpen() {
+    if (!wanted) {
+      return;
+    }
+    try {
+      socket = net.datagrams(joining.listen(), this::heard);
+    } catch (IOException e) {
+      if (!told) {
+        journal.cannotOpen(joining.listen(), String.valueOf(e.getMessage()));
+        told = true;
+      }
+      timer = net.loop().after(OPEN_AGAIN, this::tryToOpen);
+      return;
+    }
+    told = false;
+    long birth = Math.max(0, net.clock().unixMillis()) << BIRTH_SHIFT;
+    Update self =
+        new Update(
+            name,
+            joining.advertised(),
+            zone,
+            new Incarnation(birth + chance.nextInt(1 << BIRTH_SHIFT), 0),
+            State.ALIVE,
+            activity.get(),
+            0,
+            "");
+    membership = new Membership(joining.settings(), self, joining.seeds(), chance, now());
+    journal.opened(joining.advertised(), joining.fleet());
+    beat();
+  }
+
+  /**
+   * Gives the address back: with a goodbye where the program ends, without where another follows.
+   */
+  public void close(boolean goodbye) {
+    wanted = false;
+    if (timer != null) {
+      timer.cancel();
+    }
+    if (membership != null) {
+      if (goodbye) {
+        membership.leave(now(), outbox);
+      }
+      journal.closed(goodbye);
+      socket.close();
+      membership = null;
+      socket = null;
+    }
+  }
+
+  private void beat() {
+    long now = now();
+    membership.activity(now, activity.get(), outbox);
+    membership.beat(now, outbox);
+    timer = net.loop().after(membership.nextDue() - now(), this::beat);
+  }
+
+  private void heard(InetSocketAddress from, byte[] bytes) {
+    if (membership == null) {
+      return;
+    }
+    traffic.received++;
+    traffic.receivedBytes += bytes.length;
+    try {
+      membership.receive(now(), from, codec.read(bytes), outbox);
+    } catch (RefusedException e) {
+      traffic.refused.merge(e.why(), 1L, Long::sum);
+      journal.refused(now(), e.why(), e.getMessage(), from);
+    }
+  }
+
+  private final class Out implements Outbox {
+    @Override
+    public void send(InetSocketAddress to, Message message) {
+      byte[] bytes = codec.write(message);
+      traffic.sent++;
+      traffic.sentBytes += bytes.length;
+      socket.send(to, bytes);
+    }
+
+    @Override
+    public void changed(Change change) {
+      journal.changed(now(), change);
+      if (change.before() == null && change.after() == null) {
+        View view = membership.view();
+        if (view.settled()) {
+          journal.settled(view.version(), view.live().size());
+        }
+      }
+      for (Consumer<Change> listener : listeners) {
+        listener.accept(change);
+      }
+    }
+
+    @Override
+    public void nameTaken(InetSocketAddress by, boolean yields) {
+      journal.nameTaken(name, by, yields);
+    }
+  }
+
+  /** Has each change told, in order. */
+  public void listen(Consumer<Change> listener) {
+    listeners.add(listener);
+  }
+
+  /** Other addresses to look for others at, from here on. */
+  public void seeds(List<InetSocketAddress> seeds) {
+    if (membership != null) {
+      membership.seeds(seeds);
+    }
+  }
+
+  /** The view and its figures, for operators; in ASCII. */
+  public String json() {
+    return Told.json(now(), name, membership, traffic);
+  }
+
+  /** Null while this program is no member. */
+  public View view() {
+    return membership == null ? null : membership.view();
+  }
+
+  /** Null while this program is no member. */
+  public Membership membership() {
+    return membership;
+  }
+
+  public Traffic traffic() {
+    return traffic;
+  }
+}
--- a/src/main/java/brassbank/grizzly/GrizzlyNetwork.java
+++ b/src/main/java/brassbank/grizzly/GrizzlyNetwork.java
@@ -172,6 +172,12 @@
     return call;
   }
 
+  /** Grizzly's own transport for datagrams has threads of its own: this has the one selector's. */
+  @Override
+  public Datagrams datagrams(InetSocketAddress address, Heard heard) throws IOException {
+    return new KernelDatagrams(selector, address, heard);
+  }
+
   @Override
   public void execute(Runnable task) {
     selector.execute(task);
--- a/src/main/java/brassbank/grizzly/TurningSelector.java
+++ b/src/main/java/brassbank/grizzly/TurningSelector.java
@@ -3,6 +3,7 @@
 import brassbank.net.Loop;
 import brassbank.sources.Clock;
 import java.io.IOException;
+import java.nio.channels.SelectableChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
 import java.util.AbstractSet;
@@ -35,6 +36,10 @@
   private static final class Ready extends AbstractSet<SelectionKey>
       implements Consumer<SelectionKey>, Iterator<SelectionKey> {
     private final List<SelectionKey> keys = new ArrayList<>();
+
+    /** What is ready and none of Grizzly's; null while there was none, as on the platform. */
+    private List<Runnable> others;
+
     private int first;
     private int next;
 
@@ -43,6 +48,9 @@
     public void accept(SelectionKey key) {
       if (key.attachment() instanceof Connection<?> connection && FIRST.isSet(connection)) {
         keys.add(first++, key);
+      } else if (key.attachment() instanceof Runnable other) {
+        others = others == null ? new ArrayList<>() : others;
+        others.add(other);
       } else {
         keys.add(key);
       }
@@ -106,6 +114,13 @@
     loop = turned;
   }
 
+  /**
+   * Has the task run whenever the channel can be read, on the selector thread; to be called there.
+   */
+  SelectionKey register(SelectableChannel channel, Runnable readable) throws IOException {
+    return channel.register(selector, SelectionKey.OP_READ, readable);
+  }
+
   /** Runs the task once this turn's events are through; any thread may call. */
   void execute(Runnable task) {
     tasks.add(task);
@@ -126,6 +141,10 @@
     } else {
       selector.select(ready, wait);
     }
+    if (ready.others != null) {
+      ready.others.forEach(Loop::guarded);
+      ready.others.clear();
+    }
     return ready;
   }
 
--- a/src/main/java/brassbank/lab/DatagramDoor.java
+++ b/src/main/java/brassbank/lab/DatagramDoor.java
@@ -6,31 +6,26 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.DatagramChannel;
 import java.nio.channels.SelectionKey;
-import java.util.function.Consumer;
 
 /**
- * Where one proxy meets another for datagrams: what its process sends here goes into the simulated
- * network, and what comes out of that from the other is sent to the process from here. Only what
- * the process sends from its own address is taken.
+ * Where all others meet one proxy for datagrams, at one address for all, since members of a fleet
+ * tell each other where a third one is met: what their processes send here goes into the simulated
+ * network, and what this proxy's process sends comes to them from here.
  */
 final class DatagramDoor implements Turner.Ready {
   /** One turn takes so many, and the rest waits in the kernel. */
   private static final int AT_ONCE = 64;
 
+  /** Who is handed what has come, by the address that it came from. */
+  interface Sent {
+    void sent(SocketAddress from, byte[] bytes);
+  }
+
   private final DatagramChannel channel;
-  private final InetSocketAddress process;
-  private final Consumer<byte[]> sent;
+  private final Sent sent;
   private final ByteBuffer scratch = ByteBuffer.allocate(64 * 1024);
 
-  /**
-   * @param address where the process meets the other
-   * @param process where the process itself listens
-   * @param sent is handed what the process has sent
-   */
-  DatagramDoor(
-      Turner turner, InetSocketAddress address, InetSocketAddress process, Consumer<byte[]> sent)
-      throws IOException {
-    this.process = process;
+  DatagramDoor(Turner turner, InetSocketAddress address, Sent sent) throws IOException {
     this.sent = sent;
     channel = DatagramChannel.open();
     channel.bind(address);
@@ -49,17 +44,15 @@
         }
         byte[] bytes = new byte[scratch.flip().remaining()];
         scratch.get(bytes);
-        if (from.equals(process)) {
-          sent.accept(bytes);
-        }
+        sent.sent(from, bytes);
       }
     } catch (IOException e) {
       // A process that has gone is told by an error of this kind; there is nothing to be read.
     }
   }
 
-  /** The other has sent this. A kernel without room for it loses it, as it may. */
-  void deliver(byte[] bytes) {
+  /** The proxy has sent this to a process. A kernel without room for it loses it, as it may. */
+  void deliver(InetSocketAddress process, byte[] bytes) {
     try {
       channel.send(ByteBuffer.wrap(bytes), process);
     } catch (IOException e) {
--- a/src/main/java/brassbank/lab/Lab.java
+++ b/src/main/java/brassbank/lab/Lab.java
@@ -16,12 +16,14 @@
 import brassbank.sources.Clock;
 import brassbank.sources.SystemClock;
 import java.io.IOException;
+import java.net.SocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -244,7 +246,10 @@
 
   private void build() throws IOException {
     World world = scene.world();
+    Map<SocketAddress, RealProxy> byAddress = new HashMap<>();
+    proxies.values().forEach(proxy -> byAddress.put(proxy.address(), proxy));
     for (RealProxy proxy : proxies.values()) {
+      proxy.speaksWith(byAddress);
       for (StreamHost host : world.hosts().values()) {
         proxy.meets(host.machine(), StreamHost.PORT);
       }
@@ -254,11 +259,17 @@
       for (RealProxy other : proxies.values()) {
         if (other != proxy) {
           proxy.meets(other.machine(), StreamHost.PORT);
-          proxy.speaksTo(other);
         }
       }
       doors.addAll(proxy.doors());
     }
+    if (plan.membership()) {
+      List<RealProxy> seeds = List.copyOf(proxies.values()).subList(0, Math.min(2, proxies.size()));
+      for (RealProxy proxy : proxies.values()) {
+        proxy.joins(seeds);
+        scene.agenda().after(0, proxy::watchView);
+      }
+    }
   }
 
   private void mirrorAll() throws IOException {
--- a/src/main/java/brassbank/lab/LabCommand.java
+++ b/src/main/java/brassbank/lab/LabCommand.java
@@ -84,6 +84,11 @@
       description = "Leave a site that broke a rule standing until Ctrl-C, to look at it.")
   private boolean keep;
 
+  @Option(
+      names = "--membership",
+      description = "The proxies keep a view of the fleet, under further rules.")
+  private boolean membership;
+
   private final PrintStream output = System.out;
   private final PrintStream notes = System.err;
 
@@ -120,8 +125,8 @@
     require(script == null || night == null, "a script has its own faults: no --night with it");
     if (script != null) {
       require(
-          proxies == null && hosts == null && rate == null,
-          "a script says itself how many proxies, hosts and clients there are");
+          proxies == null && hosts == null && rate == null && !membership,
+          "a script says itself how many proxies, hosts and clients there are, and what they do");
       try {
         Plan read = Script.read(script);
         require(read.proxies() <= MOST_PROXIES, "a lab has at most " + MOST_PROXIES + " proxies");
@@ -143,9 +148,11 @@
     require(hostCount >= 1 && hostCount <= 250, "--hosts must be from 1 to 250");
     require(arrivals > 0 && arrivals <= 1_000, "--rate must be above 0 and at most 1000");
     require(seconds >= Plan.LEAST_SECONDS, "--seconds must be " + Plan.LEAST_SECONDS + " or more");
-    return large
-        ? night.plan(seed, seconds, proxyCount, hostCount, arrivals)
-        : Plan.drawn(seed, seconds, proxyCount, hostCount, arrivals).playable();
+    Plan plan =
+        large
+            ? night.plan(seed, seconds, proxyCount, hostCount, arrivals)
+            : Plan.drawn(seed, seconds, proxyCount, hostCount, arrivals).playable();
+    return plan.withMembership(membership);
   }
 
   private static void require(boolean holds, String otherwise) {
--- a/src/main/java/brassbank/lab/Loopback.java
+++ b/src/main/java/brassbank/lab/Loopback.java
@@ -24,6 +24,9 @@
   /** No machine of the simulated network has this group: an instance's management is here. */
   private static final int MANAGEMENT = 9;
 
+  /** No proxy has this number: here each is met by all the others for datagrams. */
+  private static final int COMMON = 200;
+
   private final ServerSocket claim;
   private final int port;
   private final Map<String, Integer> ranks = new HashMap<>();
@@ -63,6 +66,11 @@
     return socket(bytes(1 + ranks.get(proxy), simulated[1], simulated[3] & 0xff));
   }
 
+  /** Where all the others meet this proxy for datagrams. */
+  InetSocketAddress common(String proxy) {
+    return socket(bytes(COMMON, 0, 1 + ranks.get(proxy)));
+  }
+
   /** Where operators call an instance of this proxy; {@code number} tells its processes apart. */
   InetSocketAddress management(String proxy, int number) {
     return socket(bytes(1 + ranks.get(proxy), MANAGEMENT, 1 + number % 250));
--- a/src/main/java/brassbank/lab/ProxyProcess.java
+++ b/src/main/java/brassbank/lab/ProxyProcess.java
@@ -4,6 +4,8 @@
 import java.nio.file.DirectoryStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 
 /** One process of a proxy, started by {@code deploy/serve.sh} as the platform does. */
@@ -12,9 +14,9 @@
   private static final String MOST_PAGES = "VmHWM:";
 
   /** The shell becomes the program once the guard knows its id; without a word it ends. */
-  private static final String GATED = "read -r go && exec sh deploy/serve.sh </dev/null";
+  private static final String GATED = "read -r go && exec sh deploy/serve.sh \"$@\" </dev/null";
 
-  private static final String INHERITING = "exec sh deploy/serve.sh";
+  private static final String INHERITING = "exec sh deploy/serve.sh \"$@\"";
 
   private final int number;
   private final Process process;
@@ -31,6 +33,7 @@
    * Starts one; may wait for the operating system.
    *
    * @param number how many of the proxy's were started before, and one
+   * @param arguments for {@code brassbank serve}
    * @param listener the socket to inherit, or null
    */
   static ProxyProcess start(
@@ -38,11 +41,15 @@
       Path root,
       Path log,
       Map<String, String> variables,
+      List<String> arguments,
       InheritedListener listener,
       Guard guard)
       throws IOException {
+    List<String> command = new ArrayList<>();
+    command.addAll(List.of("sh", "-c", listener == null ? GATED : INHERITING, "sh"));
+    command.addAll(arguments);
     ProcessBuilder builder =
-        new ProcessBuilder("sh", "-c", listener == null ? GATED : INHERITING)
+        new ProcessBuilder(command)
             .directory(root.toFile())
             .redirectErrorStream(true)
             .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
--- a/src/main/java/brassbank/lab/RealProxy.java
+++ b/src/main/java/brassbank/lab/RealProxy.java
@@ -14,6 +14,7 @@
 import brassbank.sim.time.Draws;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
@@ -61,6 +62,12 @@
   /** A signal takes this long at most, and the process to run again. */
   private static final long SIGNAL = 10 * MILLI;
 
+  /** Its view of the fleet is asked for this often. */
+  private static final long VIEW_EVERY = 100 * MILLI;
+
+  /** The file of what the platform's configuration does not know. */
+  private static final String OWN = "own.toml";
+
   /** What all proxies of a lab share. */
   record Lab(
       Turner turner,
@@ -82,7 +89,8 @@
   private final Draws.Stream stream;
   private final ByteBuffer scratch;
   private final List<Door> doors = new ArrayList<>();
-  private final Map<Machine, DatagramDoor> datagramDoors = new LinkedHashMap<>();
+  private DatagramDoor datagramDoor;
+  private final Map<Machine, RealProxy> others = new LinkedHashMap<>();
   private final Set<Splice> splices = new LinkedHashSet<>();
 
   /** Both are read by the meter's thread as well, and change seldom. */
@@ -99,6 +107,12 @@
   private boolean listening;
   private int started;
   private long life;
+
+  /** Where it looks for its fleet; null where it is in none. */
+  private List<RealProxy> seeds;
+
+  private long viewProcess;
+  private long viewVersion;
   private long pausedUntil;
   private Agenda.Entry kill;
   private volatile int descriptors;
@@ -145,11 +159,16 @@
     return address;
   }
 
-  /** Where its process meets another proxy. */
+  /** Where its process meets another proxy's streams. */
   InetSocketAddress seen(RealProxy other) {
     return lab.loopback().address(name, other.machine);
   }
 
+  /** Where all others meet it for datagrams. */
+  InetSocketAddress common() {
+    return lab.loopback().common(name);
+  }
+
   /** The files its processes have logged to, the oldest first. */
   List<Path> logs() {
     return logs;
@@ -186,19 +205,25 @@
     doors.add(door[0]);
   }
 
-  /** It meets this proxy for datagrams; to be said before its first start. */
-  void speaksTo(RealProxy other) throws IOException {
-    datagramDoors.put(
-        other.machine,
+  /** It is met for datagrams by all of these; to be said before its first start. */
+  void speaksWith(Map<SocketAddress, RealProxy> all) throws IOException {
+    datagramDoor =
         new DatagramDoor(
             lab.turner(),
-            lab.loopback().address(name, other.machine),
-            address,
-            bytes -> {
-              if (datagrams != null && bytes.length <= Datagrams.MOST_BYTES) {
-                datagrams.send(other.machine, PORT, bytes);
+            common(),
+            (from, bytes) -> {
+              RealProxy sender = all.get(from);
+              if (sender != null) {
+                sender.says(machine, bytes);
               }
-            }));
+            });
+    all.values().forEach(other -> others.put(other.machine, other));
+  }
+
+  private void says(Machine to, byte[] bytes) {
+    if (datagrams != null && bytes.length <= Datagrams.MOST_BYTES) {
+      datagrams.send(to, PORT, bytes);
+    }
   }
 
   private void hear() {
@@ -206,10 +231,10 @@
       datagrams =
           program.datagrams(
               PORT,
-              (from, bytes) -> {
-                DatagramDoor door = datagramDoors.get(from);
-                if (door != null) {
-                  door.deliver(bytes);
+              (from, port, bytes) -> {
+                RealProxy sender = others.get(from);
+                if (sender != null) {
+                  sender.datagramDoor.deliver(address, bytes);
                 }
               });
     } catch (IOException e) {
@@ -342,6 +367,8 @@
     variables.put("LB_CONFIG", folder().resolve("config.json").toString());
     variables.put(
         "LB_MANAGEMENT", management.getAddress().getHostAddress() + ":" + management.getPort());
+    List<String> arguments =
+        seeds == null ? List.of() : List.of("--config", folder().resolve(OWN).toString());
     variables.put("TMPDIR", folder().resolve("tmp").toString());
     lab.helpers()
         .apart(
@@ -350,7 +377,8 @@
                 one.join();
               }
               write(text);
-              return ProxyProcess.start(number, lab.root(), log, variables, listener, lab.guard());
+              return ProxyProcess.start(
+                  number, lab.root(), log, variables, arguments, listener, lab.guard());
             },
             next -> {
               processes.add(next);
@@ -455,6 +483,50 @@
     world.agenda().after(stream.micros(RESTART_LEAST, RESTART_MOST), () -> start(false));
   }
 
+  // -------------------------------------------------------------- membership
+
+  /** Its processes join a fleet, which they look for at these proxies' places. */
+  void joins(List<RealProxy> others) throws IOException {
+    seeds = List.copyOf(others);
+    StringBuilder text = new StringBuilder("[membership]\nfleet = \"lab\"\n");
+    text.append("advertise = \"").append(text(common())).append("\"\nseeds = [");
+    seeds.forEach(other -> text.append('"').append(text(other.common())).append("\","));
+    Files.writeString(folder().resolve(OWN), text.append("]\n").toString());
+  }
+
+  private static String text(InetSocketAddress address) {
+    return address.getAddress().getHostAddress() + ":" + address.getPort();
+  }
+
+  /** Asks its process whom it sees, again and again, from the start on. */
+  void watchView() {
+    ProxyProcess asked = process;
+    if (asked == null || !listening || !asked.alive()) {
+      world.agenda().after(VIEW_EVERY, this::watchView);
+      return;
+    }
+    InetSocketAddress management = lab.loopback().management(name, asked.number());
+    lab.helpers()
+        .apart(
+            () -> SeenView.of(name, asked.number(), Call.text(management, "/members")),
+            view -> {
+              if (view != null
+                  && asked == process
+                  && (view.process() != viewProcess || view.version() != viewVersion)) {
+                viewProcess = view.process();
+                viewVersion = view.version();
+                world.tell(view);
+              }
+              world.agenda().after(VIEW_EVERY, this::watchView);
+            },
+            gone -> world.agenda().after(VIEW_EVERY, this::watchView));
+  }
+
+  @Override
+  public boolean member() {
+    return seeds != null && serving();
+  }
+
   private boolean serving() {
     return listening && !stopping && process != null && process.alive();
   }
@@ -606,10 +678,19 @@
 
   @Override
   public void hangUp(int further) {
-    if (!serving()) {
-      return;
+    if (serving()) {
+      hangUp(config(further), () -> world.tell(new Event.ProxyHungUp(name, further > 0)));
     }
-    String text = config(further);
+  }
+
+  @Override
+  public void hangUpDamaged() {
+    if (serving()) {
+      hangUp(ProxyConfig.damaged(config(1)), () -> {});
+    }
+  }
+
+  private void hangUp(String text, Runnable sent) {
     ProxyProcess asked = process;
     lab.helpers()
         .apart(
@@ -619,7 +700,7 @@
             },
             done -> {
               if (asked.alive()) {
-                world.tell(new Event.ProxyHungUp(name, further > 0));
+                sent.run();
                 processes.forEach(one -> lab.guard().signal("HUP", one.pid()));
               }
             },
@@ -676,8 +757,8 @@
       for (Door door : doors) {
         door.close();
       }
-      for (DatagramDoor door : datagramDoors.values()) {
-        door.close();
+      if (datagramDoor != null) {
+        datagramDoor.close();
       }
       if (listener != null) {
         listener.close();
--- a/src/main/java/brassbank/management/Management.java
+++ b/src/main/java/brassbank/management/Management.java
@@ -25,6 +25,9 @@
   /** A call is whole by then, or is told that it came too late. */
   private static final long WHOLE_MICROS = 2_000_000;
 
+  /** A longer answer may not fit into the kernel's buffer: its caller is waited for. */
+  private static final int SMALL = 4_096;
+
   private final Net net;
   private final Operators operators;
 
@@ -94,7 +97,8 @@
       if (reply.status() >= 400 && reply.status() != 409 && reply.status() != 503) {
         LOG.info("call-refused", value("status", reply.status()), value("reason", reply.text()));
       }
-      if (reply.status() == 200 || reply.status() == 503) {
+      boolean small = reply.text().length() <= SMALL;
+      if (small && (reply.status() == 200 || reply.status() == 503)) {
         end(reply);
       } else {
         link.send(reply.lines());
--- a/src/main/java/brassbank/management/Operators.java
+++ b/src/main/java/brassbank/management/Operators.java
@@ -16,6 +16,11 @@
   /** Sends the clients away; the second time it changes nothing. */
   Answer standby();
 
+  /** Whom this process sees in its fleet, as JSON in ASCII; null where it is in none. */
+  default String members() {
+    return null;
+  }
+
   /** Takes clients again; the second time it changes nothing. */
   Answer active();
 }
--- a/src/main/java/brassbank/management/Request.java
+++ b/src/main/java/brassbank/management/Request.java
@@ -112,10 +112,21 @@
       case "/status" -> reply("GET", operators::status);
       case "/standby" -> reply("PUT", operators::standby);
       case "/active" -> reply("PUT", operators::active);
-      default -> new Reply(404, "only /status, /standby and /active are here");
+      case "/members" -> members(operators);
+      default -> new Reply(404, "only /status, /standby, /active and /members are here");
     };
   }
 
+  private Reply members(Operators operators) {
+    if (!method.equals("GET")) {
+      return new Reply(405, "only GET", "Allow: GET\r\n");
+    }
+    String members = operators.members();
+    return members == null
+        ? new Reply(404, "this proxy keeps no view of a fleet")
+        : new Reply(200, members);
+  }
+
   private Reply reply(String allowed, Supplier<Operators.Answer> asked) {
     if (!method.equals(allowed)) {
       return new Reply(405, "only " + allowed, "Allow: " + allowed + "\r\n");
--- a/src/main/java/brassbank/net/Net.java
+++ b/src/main/java/brassbank/net/Net.java
@@ -301,6 +301,16 @@
     return dial;
   }
 
+  /**
+   * Takes datagrams, see {@link Network#datagrams}. The one descriptor comes out of those that are
+   * kept for the runtime: no client waits for it.
+   */
+  public Network.Datagrams datagrams(InetSocketAddress address, Network.Heard heard)
+      throws IOException {
+    return network.datagrams(
+        address, (from, bytes) -> Loop.guarded(() -> heard.heard(from, bytes)));
+  }
+
   /** A connect within its time limit; it counts as a descriptor until it is settled. */
   private abstract class Dial implements Network.Attempt {
     private Network.Attempt attempt;
--- a/src/main/java/brassbank/net/Network.java
+++ b/src/main/java/brassbank/net/Network.java
@@ -37,6 +37,25 @@
     void accepting(boolean on);
   }
 
+  /** A socket for datagrams. It holds one descriptor, from its making to {@link #close}. */
+  interface Datagrams {
+    /** Sends one, or loses it where the kernel has no room or no way: nobody is told. */
+    void send(InetSocketAddress to, byte[] bytes);
+
+    /** Gives the descriptor back; nothing is told after it. */
+    void close();
+  }
+
+  /** Who is told of datagrams, each on a turn of the loop. */
+  interface Heard {
+    /**
+     * One has come, whole as it was sent.
+     *
+     * @param from where an answer goes
+     */
+    void heard(InetSocketAddress from, byte[] bytes);
+  }
+
   /** What comes of an HTTP call, on later turns each. */
   interface Answer {
     /** The connection is up and the call is being sent. */
@@ -101,6 +120,15 @@
    */
   Attempt get(InetSocketAddress address, String path, Answer answer);
 
+  /**
+   * Takes datagrams at this address and no other; for the loop's thread, after {@link #start}.
+   *
+   * @throws IOException where the address cannot be had
+   */
+  default Datagrams datagrams(InetSocketAddress address, Heard heard) throws IOException {
+    throw new IOException("this network carries no datagrams");
+  }
+
   /** Runs the task on a turn of its own; any thread may call. */
   void execute(Runnable task);
 
--- a/src/main/java/brassbank/proxy/Operation.java
+++ b/src/main/java/brassbank/proxy/Operation.java
@@ -2,6 +2,7 @@
 
 import brassbank.decide.Decider;
 import brassbank.decide.Happening;
+import brassbank.fleet.Fleet;
 import brassbank.forward.Dispatcher;
 import brassbank.lifecycle.State;
 import brassbank.management.Operators;
@@ -13,11 +14,18 @@
   private final Decider decider;
   private final Dispatcher dispatcher;
   private final Net net;
+  private final Fleet fleet;
 
-  Operation(Decider decider, Dispatcher dispatcher, Net net) {
+  Operation(Decider decider, Dispatcher dispatcher, Net net, Fleet fleet) {
     this.decider = decider;
     this.dispatcher = dispatcher;
     this.net = net;
+    this.fleet = fleet;
+  }
+
+  @Override
+  public String members() {
+    return fleet == null ? null : fleet.json();
   }
 
   /** Of this process: one that another has succeeded takes no clients. */
--- a/src/main/java/brassbank/proxy/Proxy.java
+++ b/src/main/java/brassbank/proxy/Proxy.java
@@ -8,6 +8,7 @@
 import brassbank.decide.FlowClock;
 import brassbank.decide.Happening;
 import brassbank.discovery.Discovery;
+import brassbank.fleet.Fleet;
 import brassbank.forward.Dispatcher;
 import brassbank.front.Front;
 import brassbank.handover.DescriptorShare;
@@ -15,6 +16,7 @@
 import brassbank.lifecycle.State;
 import brassbank.log.Log;
 import brassbank.management.Management;
+import brassbank.membership.Joining;
 import brassbank.net.Net;
 import brassbank.net.Network;
 import brassbank.relay.Relay;
@@ -72,12 +74,24 @@
   private final Discovery discovery;
   private final Front front;
 
+  /** Null for a proxy that is in none. */
+  private final Fleet fleet;
+
   /** A proxy that is told no more than the platform's own configuration. */
   public Proxy(Config config, Network network) {
     this(config, RelayLimits.NONE, network);
   }
 
   public Proxy(Config config, RelayLimits limits, Network network) {
+    this(config, limits, null, network);
+  }
+
+  /**
+   * As above, as a member of a fleet.
+   *
+   * @param joining how it becomes one, or null for none
+   */
+  public Proxy(Config config, RelayLimits limits, Joining joining, Network network) {
     this.config = config;
     clock = new FlowClock(network.clock());
     made = clock.now();
@@ -102,6 +116,7 @@
             config.known().index(),
             dispatcher,
             new Randomness(config.seed()).part("discovery of " + config.name()));
+    fleet = joining == null ? null : new Member(config, decider, net, joining).fleet();
   }
 
   /**
@@ -111,7 +126,8 @@
   public void start() throws IOException {
     net.start();
     if (config.management() != null) {
-      new Management(net, new Operation(decider, dispatcher, net)).listen(config.management());
+      new Management(net, new Operation(decider, dispatcher, net, fleet))
+          .listen(config.management());
     }
     if (config.handover() != null) {
       net.inherit(front::accept);
@@ -121,6 +137,9 @@
     net.execute(
         () -> {
           dispatcher.start(discovery);
+          if (fleet != null && config.handover() == null) {
+            fleet.open();
+          }
           if (net.isOpen()) {
             dispatcher.report(new Happening.Serving());
           }
@@ -156,6 +175,12 @@
             front.opened(first);
           }
           net.open(on);
+          if (fleet != null && on) {
+            fleet.open();
+          } else if (fleet != null) {
+            // Another process of this name is the member from here on: no goodbye.
+            fleet.close(false);
+          }
           dispatcher.report(new Happening.Succeeded(!on));
           if (on) {
             dispatcher.report(new Happening.Serving());
@@ -218,6 +243,11 @@
 
   /** As {@link #reload(Config)}, with limits on slow peers. */
   public void reload(Config next, RelayLimits limits) {
+    reload(next, limits, null);
+  }
+
+  /** As above, with other addresses to look for the fleet at, or null for the same. */
+  public void reload(Config next, RelayLimits limits, Joining joining) {
     net.execute(
         () -> {
           share.sockets(next.sockets());
@@ -229,6 +259,9 @@
               next.idleTimeoutMicros(),
               next.reportFields());
           discovery.move(next.discovery());
+          if (fleet != null && joining != null) {
+            fleet.seeds(joining.seeds());
+          }
           LOG.info("reloaded", value("discovery", next.discovery()));
         });
   }
@@ -257,12 +290,34 @@
     net.execute(
         () -> {
           dispatcher.report(new Happening.Stopping(start + left));
-          net.loop().after(left - KILL_MARGIN - LAST_RESETS, relay::abandon);
-          awaitEmpty(start, 0, empty);
+          net.loop().after(left - KILL_MARGIN - LAST_RESETS, this::abandon);
+          awaitEmpty(
+              start,
+              0,
+              () -> {
+                goodbye();
+                empty.run();
+              });
         });
     return left - KILL_MARGIN;
   }
 
+  private void abandon() {
+    relay.abandon();
+    goodbye();
+  }
+
+  private void goodbye() {
+    if (fleet != null) {
+      fleet.close(true);
+    }
+  }
+
+  /** This proxy as a member of a fleet, or null; for the loop's thread, or before the start. */
+  public Fleet fleet() {
+    return fleet;
+  }
+
   /** Empty is a proxy with no flow left, whose clients have seen the end or had time to. */
   private void awaitEmpty(long start, long emptyFor, Runnable empty) {
     boolean over = decider.open() == 0 && !relay.owes() && clock.now() - start >= STILL_COMING;
--- /dev/null
+++ b/src/main/java/brassbank/sim/Fleets.java
@@ -0,0 +1,31 @@
+package brassbank.sim;
+
+import brassbank.membership.Joining;
+import brassbank.membership.Settings;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.util.ArrayList;
+import java.util.List;
+
+/** How the proxies of a run in virtual time meet: at the addresses of the first of them. */
+final class Fleets {
+  private static final int PORT = 7_070;
+  private static final int SEEDS = 2;
+
+  private Fleets() {}
+
+  /** The first proxies' machines are 10.0.0.1 and so on ({@code World.machine}). */
+  static Joining joining() {
+    List<InetSocketAddress> seeds = new ArrayList<>();
+    for (int i = 1; i <= SEEDS; i++) {
+      try {
+        InetAddress address = InetAddress.getByAddress(new byte[] {10, 0, 0, (byte) i});
+        seeds.add(new InetSocketAddress(address, PORT));
+      } catch (UnknownHostException e) {
+        throw new IllegalStateException("four bytes are an address", e);
+      }
+    }
+    return new Joining("simulated", null, null, seeds, Settings.USUAL);
+  }
+}
--- a/src/main/java/brassbank/sim/Run.java
+++ b/src/main/java/brassbank/sim/Run.java
@@ -62,7 +62,15 @@
             plan,
             Scene.House.VIRTUAL,
             (world, name, rank, machine) ->
-                new ProxyNode(world, site, name, rank, machine, wrapping, upgraded));
+                new ProxyNode(
+                    world,
+                    site,
+                    name,
+                    rank,
+                    machine,
+                    wrapping,
+                    upgraded,
+                    plan.membership() ? Fleets.joining() : null));
   }
 
   /** To be called before {@link #go}, by whoever wants to see the events. */
--- a/src/main/java/brassbank/sim/Scene.java
+++ b/src/main/java/brassbank/sim/Scene.java
@@ -10,6 +10,7 @@
 import brassbank.sim.actor.StreamHost;
 import brassbank.sim.actor.World;
 import brassbank.sim.check.Checks;
+import brassbank.sim.check.Rule;
 import brassbank.sim.check.Truth;
 import brassbank.sim.event.Event;
 import brassbank.sim.event.Trace;
@@ -25,6 +26,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 
 /**
  * A plan set on stage: the site with all its actors, the faults, the clients and the rules, on an
@@ -79,6 +82,10 @@
   private final Map<String, Instance> proxies = new LinkedHashMap<>();
   private final List<Program> homes = new ArrayList<>();
   private final Checks checks;
+
+  /** Null where the proxies keep no view. */
+  private final Joined joined;
+
   private final Stage stage;
   private final Service service = new Service();
   private int extra = EXTRA;
@@ -91,19 +98,24 @@
     Fabric fabric = new Fabric(agenda, draws, LATENCY, BUFFERS);
     world = new World(agenda, draws, fabric, trace, site, house.addresses(), house.epochMillis());
     build(site, cast);
-    checks =
-        new Checks(
-            Checks.all(
-                new Checks.Figures(
-                    site.answerSlack(),
-                    site.drainGrace(),
-                    MOST_ATTEMPTS,
-                    site.proxies(),
-                    site.hosts(),
-                    Plan.RECOVERY_MILLIS * MILLI,
-                    plan.sockets() < Plan.USUAL_SOCKETS,
-                    demand(site))),
-            new Known());
+    Checks.Figures figures =
+        new Checks.Figures(
+            site.answerSlack(),
+            site.drainGrace(),
+            MOST_ATTEMPTS,
+            site.proxies(),
+            site.hosts(),
+            Plan.RECOVERY_MILLIS * MILLI,
+            plan.sockets() < Plan.USUAL_SOCKETS,
+            demand(site));
+    List<Rule> rules = new ArrayList<>(Checks.all(figures));
+    if (plan.membership()) {
+      rules.addAll(Checks.ofMembership(figures));
+      joined = new Joined(fabric, proxies);
+    } else {
+      joined = null;
+    }
+    checks = new Checks(rules, new Known());
     trace.listen(checks);
     trace.listen(service);
     stage = new Stage(world, proxies, new Coming());
@@ -192,6 +204,9 @@
   }
 
   private void look() {
+    if (joined != null) {
+      joined.look(agenda.now());
+    }
     checks.look(agenda.now());
     agenda.after(Checks.EVERY, this::look);
   }
@@ -283,6 +298,28 @@
       return world.discovery().soundSince(proxies.get(proxy).machine());
     }
 
+    @Override
+    public Set<String> members() {
+      Set<String> members = new TreeSet<>();
+      for (Instance proxy : proxies.values()) {
+        if (proxy.member()) {
+          members.add(proxy.name());
+        }
+      }
+      return members;
+    }
+
+    @Override
+    public long joinedSince(String one, String other) {
+      return joined.since(one, other);
+    }
+
+    @Override
+    public long[] datagrams(String proxy) {
+      Machine machine = proxies.get(proxy).machine();
+      return new long[] {machine.datagrams(), machine.datagramBytes()};
+    }
+
     @Override
     public int descriptors(String proxy) {
       return proxies.get(proxy).descriptors();
--- a/src/main/java/brassbank/sim/actor/Instance.java
+++ b/src/main/java/brassbank/sim/actor/Instance.java
@@ -34,6 +34,9 @@
   /** SIGHUP, with this many further addresses of discovery in the new file. */
   void hangUp(int further);
 
+  /** SIGHUP with a file that says something new at its beginning and then breaks off. */
+  void hangUpDamaged();
+
   /** Steps its machine's wall clock by so many milliseconds. */
   void stepClock(long millis);
 
@@ -43,6 +46,9 @@
   /** Until when nothing of it runs, or did not run; of the run's time. */
   long pausedUntil();
 
+  /** Whether a process of it is a member of the fleet, and has not been told to stop. */
+  boolean member();
+
   /** Descriptors that its processes hold together. */
   int descriptors();
 }
--- a/src/main/java/brassbank/sim/check/Checks.java
+++ b/src/main/java/brassbank/sim/check/Checks.java
@@ -53,6 +53,16 @@
         new Recovery(figures));
   }
 
+  /** Those that a fleet with a view of itself has beside them. */
+  public static List<Rule> ofMembership(Figures figures) {
+    return List.of(
+        new DeathsNoticed(figures),
+        new NoFalseDeath(),
+        new ViewsAgree(figures),
+        new ViewsGrow(),
+        new MembershipPace());
+  }
+
   /**
    * The site's figures that rules need, in microseconds where they are times.
    *
--- /dev/null
+++ b/src/main/java/brassbank/sim/check/DeathsNoticed.java
@@ -0,0 +1,63 @@
+package brassbank.sim.check;
+
+import brassbank.sim.event.Event;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+/** Whoever does not run is not there in each view of those that do, within a time. */
+final class DeathsNoticed extends Rule {
+  /** Seen at 14 members: 2.4 s; and half of a fleet at once, 6 s. */
+  private static final long WITHIN = 8 * SECOND;
+
+  /** One that is left alone finds out about all others by itself; seen for 13: 13.5 s. */
+  private static final long EACH = SECOND;
+
+  private final Checks.Figures figures;
+  private final Views views = new Views();
+  private final Map<String, Long> downSince = new HashMap<>();
+  private final Map<String, Long> upSince = new HashMap<>();
+  private final Set<String> told = new HashSet<>();
+
+  DeathsNoticed(Checks.Figures figures) {
+    super("whoever is dead is dead in each view");
+    this.figures = figures;
+  }
+
+  @Override
+  void see(long now, Event event) {
+    views.see(event);
+  }
+
+  @Override
+  void look(long now) {
+    Set<String> running = truth.members();
+    for (int i = 0; i < figures.proxies(); i++) {
+      String name = "n" + i;
+      if (running.contains(name)) {
+        downSince.remove(name);
+        upSince.putIfAbsent(name, now);
+      } else {
+        upSince.remove(name);
+        downSince.putIfAbsent(name, now);
+      }
+    }
+    views.last().forEach((viewer, view) -> judge(now, viewer, view));
+  }
+
+  private void judge(long now, String viewer, Event.ViewSeen view) {
+    Long up = upSince.get(viewer);
+    if (up == null || view.displaced()) {
+      return;
+    }
+    long since = Math.max(up, truth.proxyCalmSince(viewer));
+    long within = WITHIN + truth.slack() + EACH * downSince.size();
+    for (String name : view.live()) {
+      Long down = downSince.get(name);
+      if (down != null && now - Math.max(down, since) > within && told.add(viewer + name)) {
+        broken(now, viewer + " takes " + name + " for there, which is gone since " + down);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/brassbank/sim/check/MembershipPace.java
@@ -0,0 +1,50 @@
+package brassbank.sim.check;
+
+import brassbank.sim.event.Event;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+
+/** What a member sends in a second is bounded, whatever it hears. */
+final class MembershipPace extends Rule {
+  /** 10 in a calm second; news to three others on each beat, answers, notices: seen, 160. */
+  private static final int MOST_DATAGRAMS = 400;
+
+  /** 650 bytes in a calm second; seen, 40 kB. */
+  private static final int MOST_BYTES = 128 * 1024;
+
+  private record Sample(long at, long datagrams, long bytes) {}
+
+  private final Map<String, Deque<Sample>> samples = new HashMap<>();
+
+  MembershipPace() {
+    super("datagrams and bytes a second of one member");
+  }
+
+  @Override
+  void see(long now, Event event) {
+    // Time alone is looked at.
+  }
+
+  @Override
+  void look(long now) {
+    for (String name : truth.members()) {
+      long[] sent = truth.datagrams(name);
+      Deque<Sample> last = samples.computeIfAbsent(name, n -> new ArrayDeque<>());
+      last.add(new Sample(now, sent[0], sent[1]));
+      while (now - last.peek().at() > SECOND) {
+        last.remove();
+      }
+      long datagrams = sent[0] - last.peek().datagrams();
+      long bytes = sent[1] - last.peek().bytes();
+      // What was held up by a stop comes at once after it.
+      boolean calm = now - truth.proxyCalmSince(name) > SECOND;
+      if (calm && (datagrams > MOST_DATAGRAMS || bytes > MOST_BYTES)) {
+        last.clear();
+        broken(
+            now, name + " has sent " + datagrams + " datagrams, " + bytes + " bytes, in a second");
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/brassbank/sim/check/NoFalseDeath.java
@@ -0,0 +1,34 @@
+package brassbank.sim.check;
+
+import brassbank.sim.event.Event;
+
+/** Nobody who runs and could be heard is declared dead. */
+final class NoFalseDeath extends Rule {
+  /**
+   * Whoever could not be heard within this is not falsely dead: a stop of more than 1.4 s cannot be
+   * told from a death, and what was decided during it takes its time to be heard of.
+   */
+  private static final long HEARD_FOR = 3 * SECOND;
+
+  private final Views views = new Views();
+
+  NoFalseDeath() {
+    super("nobody who can be heard is declared dead");
+  }
+
+  @Override
+  void see(long now, Event event) {
+    Event.ViewSeen before = views.see(event);
+    if (before == null) {
+      return;
+    }
+    Event.ViewSeen after = (Event.ViewSeen) event;
+    for (Event.Seen one : after.members()) {
+      if (one.state().equals("dead")
+          && before.live().contains(one.name())
+          && now - truth.joinedSince(after.proxy(), one.name()) > HEARD_FOR + truth.slack()) {
+        broken(now, after.proxy() + " declares " + one.name() + " dead, which it could hear");
+      }
+    }
+  }
+}
--- a/src/main/java/brassbank/sim/check/Truth.java
+++ b/src/main/java/brassbank/sim/check/Truth.java
@@ -1,6 +1,8 @@
 package brassbank.sim.check;
 
+import java.util.Collections;
 import java.util.List;
+import java.util.Set;
 
 /** What no proxy can know and the rules must, to blame no one for what the network did. */
 public interface Truth {
@@ -27,6 +29,24 @@
   /** Since when discovery has worked, and could be reached by this proxy. */
   long discoverySoundSince(String proxy);
 
+  /** Names of the proxies that run as members of the fleet. */
+  default Set<String> members() {
+    return Collections.emptySet();
+  }
+
+  /**
+   * Since when two members have run, and could hear each other, straight or by a third, whatever
+   * the rules take for a way; Long.MAX_VALUE while it is not so.
+   */
+  default long joinedSince(String one, String other) {
+    return Long.MAX_VALUE;
+  }
+
+  /** Datagrams that this proxy has sent so far, and bytes in them. */
+  default long[] datagrams(String proxy) {
+    return new long[2];
+  }
+
   /** Descriptors that this proxy holds now. */
   int descriptors(String proxy);
 
--- a/src/main/java/brassbank/sim/cli/SimulateCommand.java
+++ b/src/main/java/brassbank/sim/cli/SimulateCommand.java
@@ -116,6 +116,11 @@
               + " (14 proxies, 60 hosts, 28 clients a second if they are not given).")
   private Night night;
 
+  @Option(
+      names = "--membership",
+      description = "The proxies keep a view of the fleet, under further rules.")
+  private boolean membership;
+
   private final PrintStream output = System.out;
   private final PrintStream notes = System.err;
 
@@ -134,6 +139,8 @@
     require(out == null || what.shrink != null, "--out needs --shrink");
     require(
         night == null || what.script == null, "--night needs seeds: a script has its own faults");
+    require(
+        !membership || what.script == null, "--membership needs seeds: a script says it itself");
     require(!json || what.seeds != null, "--json needs --seeds");
     if (what.kinds) {
       return kinds();
@@ -154,9 +161,11 @@
   }
 
   private Plan drawn(long seed) {
-    return night == null
-        ? Plan.drawn(seed, seconds, proxies, hosts, rate)
-        : night.plan(seed, seconds, proxies, hosts, rate);
+    Plan plan =
+        night == null
+            ? Plan.drawn(seed, seconds, proxies, hosts, rate)
+            : night.plan(seed, seconds, proxies, hosts, rate);
+    return plan.withMembership(membership);
   }
 
   private Plan script() throws IOException {
--- a/src/main/java/brassbank/sim/event/Event.java
+++ b/src/main/java/brassbank/sim/event/Event.java
@@ -2,6 +2,9 @@
 
 import java.lang.reflect.InvocationTargetException;
 import java.lang.reflect.RecordComponent;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
 
 /**
  * Something that has happened, told by the one who did it or to whom it was done, at the moment
@@ -170,6 +173,45 @@
   /** Anything else that it logged; told only where a trace is wanted. */
   record ProxyLogged(String proxy, String text) implements Event {}
 
+  // --------------------------------------------------------------- membership
+
+  /**
+   * What a proxy believes of one, by the names of the view's own states.
+   *
+   * @param birth and {@code raised}, the incarnation
+   */
+  record Seen(String name, String state, long birth, int raised) {
+    boolean live() {
+      return state.equals("alive") || state.equals("suspect");
+    }
+
+    @Override
+    public String toString() {
+      return name + ":" + state + "@" + birth + "." + raised;
+    }
+  }
+
+  /**
+   * A proxy's view of the fleet, where it is another than the last one that was told.
+   *
+   * @param process tells the lives of a proxy's processes apart
+   */
+  record ViewSeen(
+      String proxy,
+      long process,
+      long version,
+      boolean settled,
+      boolean displaced,
+      List<Seen> members)
+      implements Event {
+    /** Names of those that it takes for there. */
+    public Set<String> live() {
+      Set<String> names = new TreeSet<>();
+      members.stream().filter(Seen::live).forEach(one -> names.add(one.name()));
+      return names;
+    }
+  }
+
   // -------------------------------------------------------------- bad clients
 
   /** A bad client has connected; it is owed an end within so many milliseconds. */
--- a/src/main/java/brassbank/sim/fault/LinkKinds.java
+++ b/src/main/java/brassbank/sim/fault/LinkKinds.java
@@ -118,6 +118,17 @@
             0,
             (stage, fault) -> starve(stage, fault, 0),
             NOTHING),
+        new FaultKind(
+            "proxies-hang-up-damaged",
+            "SIGHUP to all proxies with a file that breaks off in the middle",
+            FaultKind.On.ALL,
+            300,
+            300,
+            0,
+            0,
+            0,
+            (stage, fault) -> stage.proxies().forEach(Instance::hangUpDamaged),
+            NOTHING),
         new FaultKind(
             "proxies-crash",
             "all proxies are killed at once and start again from nothing",
--- a/src/main/java/brassbank/sim/fault/Night.java
+++ b/src/main/java/brassbank/sim/fault/Night.java
@@ -66,7 +66,7 @@
     draw(site);
     site.faults.sort(Comparator.comparingLong(Fault::atMillis));
     return new Plan(
-        seed, seconds, proxies, hosts, rate, Plan.USUAL_SOCKETS, site.faults, Numbers.ALL);
+        seed, seconds, proxies, hosts, rate, Plan.USUAL_SOCKETS, site.faults, Numbers.ALL, false);
   }
 
   /** What a night is drawn on. */
--- a/src/main/java/brassbank/sim/fault/Plan.java
+++ b/src/main/java/brassbank/sim/fault/Plan.java
@@ -12,6 +12,7 @@
  * @param rate new clients a second
  * @param sockets descriptors that each proxy may hold
  * @param clients which of the clients that the seed draws come
+ * @param membership whether the proxies keep a view of the fleet
  */
 public record Plan(
     long seed,
@@ -21,7 +22,8 @@
     double rate,
     int sockets,
     List<Fault> faults,
-    Numbers clients) {
+    Numbers clients,
+    boolean membership) {
 
   /** The usual day. */
   public static final int SECONDS = 60;
@@ -83,7 +85,7 @@
       }
     }
     faults.sort((a, b) -> Long.compare(a.atMillis(), b.atMillis()));
-    return new Plan(seed, seconds, proxies, hosts, rate, sockets, faults, Numbers.ALL);
+    return new Plan(seed, seconds, proxies, hosts, rate, sockets, faults, Numbers.ALL, false);
   }
 
   /** The names that a fault of such a kind may be aimed at; empty where it needs none. */
@@ -120,15 +122,20 @@
   }
 
   public Plan with(List<Fault> left) {
-    return new Plan(seed, seconds, proxies, hosts, rate, sockets, left, clients);
+    return new Plan(seed, seconds, proxies, hosts, rate, sockets, left, clients, membership);
   }
 
   /** The same with no more than so many seconds, which ends it early. */
   public Plan until(int shorter) {
-    return new Plan(seed, shorter, proxies, hosts, rate, sockets, faults, clients);
+    return new Plan(seed, shorter, proxies, hosts, rate, sockets, faults, clients, membership);
   }
 
   public Plan with(Numbers left) {
-    return new Plan(seed, seconds, proxies, hosts, rate, sockets, faults, left);
+    return new Plan(seed, seconds, proxies, hosts, rate, sockets, faults, left, membership);
+  }
+
+  /** The same with proxies that keep a view of the fleet, or without. */
+  public Plan withMembership(boolean on) {
+    return new Plan(seed, seconds, proxies, hosts, rate, sockets, faults, clients, on);
   }
 }
--- a/src/main/java/brassbank/sim/fault/Script.java
+++ b/src/main/java/brassbank/sim/fault/Script.java
@@ -58,7 +58,16 @@
   private Plan plan(TomlTable toml) throws ScriptException {
     known(
         toml,
-        List.of("seed", "seconds", "proxies", "hosts", "rate", "sockets", "clients", "fault"));
+        List.of(
+            "seed",
+            "seconds",
+            "proxies",
+            "hosts",
+            "rate",
+            "sockets",
+            "clients",
+            "membership",
+            "fault"));
     int proxies = (int) whole(toml, "proxies", Plan.PROXIES, 1, MOST_MACHINES);
     int hosts = (int) whole(toml, "hosts", Plan.HOSTS, 1, MOST_MACHINES);
     Plan plan =
@@ -70,7 +79,8 @@
             number(toml, "rate", Plan.RATE, 0.01, MOST_RATE),
             (int) whole(toml, "sockets", Plan.USUAL_SOCKETS, LEAST_SOCKETS, MOST_SOCKETS),
             List.of(),
-            clients(toml));
+            clients(toml),
+            membership(toml));
     return plan.with(faults(toml, plan));
   }
 
@@ -128,6 +138,14 @@
     }
   }
 
+  private boolean membership(TomlTable toml) throws ScriptException {
+    Object value = toml.get(List.of("membership"));
+    if (value != null && !(value instanceof Boolean)) {
+      throw wrong(toml, "membership", "'membership' must be true or false");
+    }
+    return Boolean.TRUE.equals(value);
+  }
+
   private List<Fault> faults(TomlTable toml, Plan plan) throws ScriptException {
     List<Fault> faults = new ArrayList<>();
     Object value = toml.get(List.of("fault"));
@@ -204,6 +222,9 @@
     text.append("rate = ").append(plan.rate()).append('\n');
     text.append("sockets = ").append(plan.sockets()).append('\n');
     text.append("clients = \"").append(plan.clients()).append("\"\n");
+    if (plan.membership()) {
+      text.append("membership = true\n");
+    }
     for (Fault fault : plan.faults()) {
       text.append("\n[[fault]]\n");
       text.append("kind = \"").append(fault.kind()).append("\"\n");
--- a/src/main/java/brassbank/sim/net/Datagrams.java
+++ b/src/main/java/brassbank/sim/net/Datagrams.java
@@ -1,6 +1,7 @@
 package brassbank.sim.net;
 
 import brassbank.sim.time.Draws;
+import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -15,7 +16,7 @@
 
   /** Who is told of what comes, on a turn of its program. */
   public interface Handler {
-    void came(Machine from, byte[] bytes);
+    void came(Machine from, int port, byte[] bytes);
   }
 
   private final Program program;
@@ -32,6 +33,11 @@
     stream = program.machine().fabric().datagrams(program.machine());
   }
 
+  /** Sends to a socket by its address; one that nobody has loses it. */
+  public void send(InetSocketAddress to, byte[] bytes) {
+    send(program.machine().fabric().at(to.getAddress()), to.getPort(), bytes);
+  }
+
   /**
    * Sends to the socket at a port of another machine.
    *
@@ -43,6 +49,7 @@
     }
     Machine from = program.machine();
     Fabric fabric = from.fabric();
+    from.sent(bytes.length);
     if (!open || to == null || fabric.blocked(from, to) || fabric.loses(from, to, stream)) {
       return;
     }
@@ -54,16 +61,16 @@
         arrival = Math.max(arrival, lastArrival.getOrDefault(to, 0L));
         lastArrival.put(to, arrival);
       }
-      fabric.agenda().at(arrival, () -> to.arrives(from, toPort, own));
+      fabric.agenda().at(arrival, () -> to.arrives(from, port, toPort, own));
     }
   }
 
-  void arrives(Machine from, byte[] bytes) {
+  void arrives(Machine from, int fromPort, byte[] bytes) {
     program.later(
         0,
         () -> {
           if (open) {
-            handler.came(from, bytes.clone());
+            handler.came(from, fromPort, bytes.clone());
           }
         });
   }
--- a/src/main/java/brassbank/sim/net/Fabric.java
+++ b/src/main/java/brassbank/sim/net/Fabric.java
@@ -191,6 +191,19 @@
     return false;
   }
 
+  /** Whether datagrams pass both ways between two machines, but for some that are lost. */
+  public boolean hear(Machine a, Machine b, double mostLost) {
+    return !blocked(a, b) && !blocked(b, a) && lost(a, b) <= mostLost && lost(b, a) <= mostLost;
+  }
+
+  private double lost(Machine from, Machine to) {
+    double kept = 1;
+    for (Disturbance disturbance : disturbances) {
+      kept *= 1 - disturbance.losesDatagrams(from, to);
+    }
+    return 1 - kept;
+  }
+
   /** Bytes that come in one piece at most. */
   int segment(Machine from, Machine to, int usual) {
     int least = usual;
--- a/src/main/java/brassbank/sim/net/Machine.java
+++ b/src/main/java/brassbank/sim/net/Machine.java
@@ -24,6 +24,8 @@
   private final Map<String, Long> ways = new HashMap<>();
   private boolean dark;
   private long opened;
+  private long datagrams;
+  private long datagramBytes;
 
   Machine(Fabric fabric, String name, String zone, InetAddress address) {
     this.fabric = fabric;
@@ -101,6 +103,25 @@
     }
   }
 
+  /** Datagrams that its programs have sent so far. */
+  public long datagrams() {
+    return datagrams;
+  }
+
+  /** Bytes in them. */
+  public long datagramBytes() {
+    return datagramBytes;
+  }
+
+  void sent(int bytes) {
+    datagrams++;
+    datagramBytes += bytes;
+  }
+
+  boolean hears(int port) {
+    return sockets.containsKey(port);
+  }
+
   void hears(int port, Datagrams socket) {
     if (sockets.putIfAbsent(port, socket) != null) {
       throw new IllegalStateException(name + " takes datagrams at " + port + " already");
@@ -112,10 +133,10 @@
   }
 
   /** A datagram has come; without a socket for it it is lost, and so it is without power. */
-  void arrives(Machine from, int port, byte[] bytes) {
+  void arrives(Machine from, int fromPort, int port, byte[] bytes) {
     Datagrams socket = dark ? null : sockets.get(port);
     if (socket != null) {
-      socket.arrives(from, bytes);
+      socket.arrives(from, fromPort, bytes);
     }
   }
 
--- a/src/main/java/brassbank/sim/net/Program.java
+++ b/src/main/java/brassbank/sim/net/Program.java
@@ -169,6 +169,9 @@
   /** Opens a socket for datagrams at a port of its machine; it ends with the program. */
   public Datagrams datagrams(int port, Datagrams.Handler handler) throws IOException {
     require();
+    if (machine.hears(port)) {
+      throw new IOException("address already in use");
+    }
     Datagrams socket = new Datagrams(this, port, handler);
     machine.hears(port, socket);
     sockets.add(socket);
@@ -176,6 +179,12 @@
     return socket;
   }
 
+  /** Gives a socket for datagrams back. */
+  public void gives(Datagrams socket) {
+    socket.close();
+    sockets.remove(socket);
+  }
+
   void closed(Port listener) {
     listeners.remove(listener);
   }
--- a/src/main/java/brassbank/sim/proxy/ProxyConfig.java
+++ b/src/main/java/brassbank/sim/proxy/ProxyConfig.java
@@ -42,6 +42,11 @@
     return json.toString();
   }
 
+  /** What is left of a file whose writer was stopped after two thirds of it. */
+  public static String damaged(String text) {
+    return text.substring(0, text.length() * 2 / 3);
+  }
+
   private static JsonObject settings(Site site, int rank, String zone) {
     JsonObject settings = new JsonObject();
     settings.addProperty("rank", rank);
--- a/src/main/java/brassbank/sim/proxy/ProxyNode.java
+++ b/src/main/java/brassbank/sim/proxy/ProxyNode.java
@@ -5,8 +5,12 @@
 import brassbank.handover.Handover;
 import brassbank.handover.Holding;
 import brassbank.handover.Succession;
+import brassbank.membership.Joining;
+import brassbank.membership.Member;
+import brassbank.membership.View;
 import brassbank.net.Network;
 import brassbank.proxy.Proxy;
+import brassbank.relay.limits.RelayLimits;
 import brassbank.sim.actor.Instance;
 import brassbank.sim.actor.Site;
 import brassbank.sim.actor.World;
@@ -21,6 +25,7 @@
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.function.UnaryOperator;
 
@@ -65,6 +70,7 @@
   private final InetSocketAddress address;
   private final UnaryOperator<Network> wrapping;
   private final boolean inherits;
+  private final Joining joining;
   private final Draws.Stream stream;
 
   /** Those that live, the last one among them. */
@@ -87,6 +93,7 @@
    * @param told the site as the proxy's settings tell it
    * @param wrapping put round the network of each of its lives; the tests plant bugs here
    * @param inherits whether the platform holds its listening socket, so that it can be upgraded
+   * @param joining how it becomes a member of the fleet, or null for none
    */
   public ProxyNode(
       World world,
@@ -95,7 +102,8 @@
       int rank,
       Machine machine,
       UnaryOperator<Network> wrapping,
-      boolean inherits) {
+      boolean inherits,
+      Joining joining) {
     this.world = world;
     this.told = told;
     this.name = name;
@@ -103,6 +111,7 @@
     this.machine = machine;
     this.wrapping = wrapping;
     this.inherits = inherits;
+    this.joining = joining;
     this.sockets = world.site().sockets();
     this.address = new InetSocketAddress(machine.address(), PORT);
     this.stream = world.draws().of("proxy " + name);
@@ -177,6 +186,16 @@
     }
   }
 
+  @Override
+  public boolean member() {
+    return joining != null
+        && !stopping
+        && processes.stream()
+            .anyMatch(
+                one ->
+                    one.program.alive() && one.proxy != null && one.proxy.fleet().view() != null);
+  }
+
   @Override
   public int descriptors() {
     return processes.stream()
@@ -215,7 +234,11 @@
       Network network = wrapping.apply(new SimNetwork(program, clock, exhausted, door));
       try {
         Config read = Config.of(config(0));
-        proxy = new Proxy(inherits ? read.inheriting(Path.of(name)) : read, network);
+        Config mine = inherits ? read.inheriting(Path.of(name)) : read;
+        proxy = new Proxy(mine, RelayLimits.NONE, joining, network);
+        if (joining != null) {
+          proxy.fleet().listen(change -> viewed());
+        }
         proxy.start();
       } catch (ConfigException | IOException e) {
         throw new IllegalStateException("a proxy cannot start: " + e.getMessage(), e);
@@ -228,6 +251,22 @@
       }
     }
 
+    private void viewed() {
+      View view = proxy.fleet().view();
+      List<Event.Seen> members = new ArrayList<>();
+      for (Member one : view.members()) {
+        members.add(
+            new Event.Seen(
+                one.name(),
+                one.state().name().toLowerCase(Locale.ROOT),
+                one.incarnation().birth(),
+                one.incarnation().raised()));
+      }
+      world.tell(
+          new Event.ViewSeen(
+              name, number, view.version(), view.settled(), view.displaced(), members));
+    }
+
     private List<Process> others(boolean successors) {
       return processes.stream()
           .filter(one -> one.program.alive() && one != this)
@@ -416,7 +455,10 @@
       end();
       life.exit();
       closeDoor();
-      world.tell(new Event.ProxyExited(name, 0));
+      // One that was succeeded between SIGTERM and its end leaves a proxy that lives.
+      if (life == program) {
+        world.tell(new Event.ProxyExited(name, 0));
+      }
       world.agenda().after(stream.micros(RESTART_LEAST, RESTART_MOST), () -> start(false));
     }
   }
@@ -440,18 +482,33 @@
   public void hangUp(int further) {
     if (serving()) {
       world.tell(new Event.ProxyHungUp(name, further > 0));
-      try {
-        Config next = Config.of(config(further));
-        // An upgrade's other process reads the same file.
-        processes.stream()
-            .filter(one -> one.program.alive() && one.proxy != null)
-            .forEach(one -> one.proxy.reload(next));
-      } catch (ConfigException e) {
-        throw new IllegalStateException(e);
+      if (!reload(config(further))) {
+        throw new IllegalStateException(name + " cannot read its own configuration");
       }
     }
   }
 
+  @Override
+  public void hangUpDamaged() {
+    if (serving()) {
+      reload(ProxyConfig.damaged(config(1)));
+    }
+  }
+
+  /** False where the text cannot be used, and nothing of it is. */
+  private boolean reload(String text) {
+    try {
+      Config next = Config.of(text);
+      // An upgrade's other process reads the same file.
+      processes.stream()
+          .filter(one -> one.program.alive() && one.proxy != null)
+          .forEach(one -> one.proxy.reload(next));
+      return true;
+    } catch (ConfigException e) {
+      return false;
+    }
+  }
+
   @Override
   public void stepClock(long millis) {
     if (clock != null) {
--- a/src/main/java/brassbank/sim/proxy/SimNetwork.java
+++ b/src/main/java/brassbank/sim/proxy/SimNetwork.java
@@ -170,6 +170,29 @@
     return call;
   }
 
+  @Override
+  public Network.Datagrams datagrams(InetSocketAddress address, Heard heard) throws IOException {
+    if (!address.getAddress().equals(program.machine().address())) {
+      throw new IOException("cannot assign the requested address " + address);
+    }
+    brassbank.sim.net.Datagrams socket =
+        program.datagrams(
+            address.getPort(),
+            (from, port, bytes) ->
+                turn(() -> heard.heard(new InetSocketAddress(from.address(), port), bytes)));
+    return new Network.Datagrams() {
+      @Override
+      public void send(InetSocketAddress to, byte[] bytes) {
+        socket.send(to, bytes);
+      }
+
+      @Override
+      public void close() {
+        program.gives(socket);
+      }
+    };
+  }
+
   @Override
   public void execute(Runnable task) {
     program.later(0, () -> turn(task));
--- a/src/test/java/brassbank/ArchitectureTest.java
+++ b/src/test/java/brassbank/ArchitectureTest.java
@@ -138,7 +138,8 @@
         .dependOnClassesThat()
         .resideInAPackage("org.tomlj..")
         .check(program);
-    onlyKnows("brassbank.config.file", "brassbank.relay.limits").check(program);
+    onlyKnows("brassbank.config.file", "brassbank.relay.limits", "brassbank.membership")
+        .check(program);
   }
 
   @ArchTest
@@ -288,6 +289,34 @@
         .check(program);
   }
 
+  @ArchTest
+  static void membershipKnowsValuesOnlyAndNothingOfTheProgram(JavaClasses program) {
+    onlyKnows("brassbank.membership").check(program);
+    isPure("brassbank.membership").check(program);
+    onlyKnows("brassbank.membership.wire", "brassbank.membership").check(program);
+    onlyKnows(
+            "brassbank.fleet",
+            "brassbank.membership",
+            "brassbank.membership.wire",
+            "brassbank.net",
+            "brassbank.log")
+        .check(program);
+    // Whoever is in no fleet loads none of it: only what is handed on is known elsewhere.
+    noClasses()
+        .that()
+        .resideOutsideOfPackages(
+            "brassbank.membership..", "brassbank.fleet", "brassbank.proxy", "brassbank.sim..")
+        .should()
+        .dependOnClassesThat(
+            describe(
+                "are membership's, and no mere values",
+                (JavaClass known) ->
+                    known.getPackageName().startsWith("brassbank.membership")
+                        && !List.of("Joining", "Settings", "Update")
+                            .contains(known.getSimpleName())))
+        .check(program);
+  }
+
   @ArchTest
   static void aGatewaysLinkPointsDownAndNothingElseLoadsIt(JavaClasses program) {
     String link = "brassbank.gateway.link";
--- a/src/test/java/brassbank/lab/DatagramLinksIT.java
+++ b/src/test/java/brassbank/lab/DatagramLinksIT.java
@@ -7,9 +7,11 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.DatagramChannel;
+import java.nio.channels.SocketChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
@@ -68,27 +70,69 @@
         .toList();
   }
 
+  /** Asks a proxy for a sign of life over a stream, as another proxy's machine. */
+  private static final class Asking {
+    private final InetSocketAddress address;
+    private final ByteBuffer answer = ByteBuffer.allocate(64);
+    private SocketChannel channel;
+    private boolean asked;
+
+    Asking(InetSocketAddress address) {
+      this.address = address;
+    }
+
+    void look(boolean due) throws java.io.IOException {
+      if (!due) {
+        return;
+      }
+      if (channel == null) {
+        channel = SocketChannel.open();
+        channel.configureBlocking(false);
+        channel.connect(address);
+      }
+      if (!asked && channel.finishConnect()) {
+        asked = true;
+        channel.write(ByteBuffer.wrap("PING\r\n".getBytes()));
+      }
+      if (asked) {
+        channel.read(answer);
+      }
+    }
+
+    String answer() {
+      return new String(answer.array(), 0, answer.position()).strip();
+    }
+  }
+
   @Test
   void areLostDoubledOutOfOrderAndCutAsTheScriptSaysAndNotElse() throws Exception {
     Path script = Files.createTempFile("brassbank", ".toml");
     Files.writeString(script, SCRIPT);
     List<Integer> there = new ArrayList<>();
     List<Integer> back = new ArrayList<>();
+    Map<String, String> answers = new HashMap<>();
     try (Lab lab = new Lab(Script.read(script), Path.of("").toAbsolutePath(), null)) {
       Map<String, RealProxy> proxies = lab.proxies();
       InetSocketAddress one = proxies.get("n0").address();
       InetSocketAddress other = proxies.get("n1").address();
-      InetSocketAddress otherSeen = proxies.get("n0").seen(proxies.get("n1"));
-      InetSocketAddress oneSeen = proxies.get("n1").seen(proxies.get("n0"));
+      InetSocketAddress otherSeen = proxies.get("n1").common();
+      InetSocketAddress oneSeen = proxies.get("n0").common();
+      InetSocketAddress otherStream = proxies.get("n0").seen(proxies.get("n1"));
       try (DatagramChannel first = at(one);
           DatagramChannel second = at(other);
           DatagramChannel stranger =
               at(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))) {
         int[] sent = {100};
+        Asking calm = new Asking(otherStream);
+        Asking cut = new Asking(otherStream);
         ByteBuffer buffer = ByteBuffer.allocate(64);
         lab.play(
             (playing, now) -> {
               try {
+                calm.look(now > 1_500_000);
+                cut.look(now > 5_200_000);
+                answers.put(now < 5_900_000 ? "while cut" : "after it", cut.answer());
+                answers.put("calm", calm.answer());
                 while (now < 7_000_000 && sent[0] < now / 10_000) {
                   ByteBuffer number = ByteBuffer.allocate(4).putInt(sent[0]++).flip();
                   first.send(number.duplicate(), otherSeen);
@@ -115,6 +159,11 @@
     assertThat(of(4, there)).isNotEqualTo(of(4, there).stream().sorted().toList());
     assertThat(of(5, there)).as("cut").isEmpty();
     assertThat(of(6, there)).as("calm again").hasSize(80);
+    assertThat(answers)
+        .as("a stream between the same two")
+        .containsEntry("calm", "PONG")
+        .containsEntry("while cut", "")
+        .containsEntry("after it", "PONG");
     assertThat(back).as("the other way").hasSizeGreaterThan(590).isSorted();
   }
 }
--- a/src/test/java/brassbank/sim/SimulationTest.java
+++ b/src/test/java/brassbank/sim/SimulationTest.java
@@ -125,7 +125,14 @@
         counts(
             (world, name, rank, machine) ->
                 new ProxyNode(
-                    world, world.site(), name, rank, machine, UnaryOperator.identity(), false) {
+                    world,
+                    world.site(),
+                    name,
+                    rank,
+                    machine,
+                    UnaryOperator.identity(),
+                    false,
+                    null) {
                   @Override
                   public void crash(long downFor) {
                     world.tell(new Event.ProxyKilled(name, false));
@@ -140,7 +147,14 @@
         counts(
             (world, name, rank, machine) ->
                 new ProxyNode(
-                    world, world.site(), name, rank, machine, PlantedBug.FifthAttempt::new, false));
+                    world,
+                    world.site(),
+                    name,
+                    rank,
+                    machine,
+                    PlantedBug.FifthAttempt::new,
+                    false,
+                    null));
     assertThat(counts.get("no more attempts of a flow than are allowed")).isPositive();
   }
 
--- a/src/test/java/brassbank/sim/Wrapped.java
+++ b/src/test/java/brassbank/sim/Wrapped.java
@@ -67,6 +67,11 @@
     return real.get(address, path, answer);
   }
 
+  @Override
+  public Datagrams datagrams(InetSocketAddress address, Heard heard) throws IOException {
+    return real.datagrams(address, heard);
+  }
+
   @Override
   public void execute(Runnable task) {
     real.execute(task);
--- /dev/null
+++ b/src/test/java/brassbank/sim/members/Spoiled.java
@@ -0,0 +1,125 @@
+package brassbank.sim.members;
+
+import brassbank.membership.Message;
+import brassbank.membership.Update;
+import brassbank.membership.wire.Codec;
+import brassbank.membership.wire.RefusedException;
+import brassbank.net.Channel;
+import brassbank.net.Loop;
+import brassbank.net.Network;
+import brassbank.sources.Clock;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
+
+/** A network whose datagrams are read and spoiled on their way; everything else is as it was. */
+public class Spoiled implements Network {
+  private final Network real;
+  private final Codec codec;
+
+  public Spoiled(Network real, String fleet) {
+    this.real = real;
+    codec = new Codec(fleet);
+  }
+
+  /** What goes out in place of a message. */
+  protected List<Message> sent(InetSocketAddress to, Message message) {
+    return List.of(message);
+  }
+
+  /** What comes in in place of a message. */
+  protected List<Message> heard(Message message) {
+    return List.of(message);
+  }
+
+  /** Another ACK than the one that never came. */
+  protected List<Message> forged(Message sent) {
+    return List.of();
+  }
+
+  /** The message with each thing told in it replaced, its sender's own word among them. */
+  static Message with(Message message, UnaryOperator<Update> change) {
+    return new Message(
+        message.kind(),
+        message.sequence(),
+        change.apply(message.sender()),
+        message.digest(),
+        message.target(),
+        message.updates().stream().map(change).toList());
+  }
+
+  @Override
+  public Datagrams datagrams(InetSocketAddress address, Heard heard) throws IOException {
+    Datagrams socket =
+        real.datagrams(
+            address, (from, bytes) -> heard(read(bytes)).forEach(m -> heard.heard(from, write(m))));
+    return new Datagrams() {
+      @Override
+      public void send(InetSocketAddress to, byte[] bytes) {
+        Message message = read(bytes);
+        sent(to, message).forEach(one -> socket.send(to, write(one)));
+        forged(message).forEach(one -> real.execute(() -> heard.heard(to, write(one))));
+      }
+
+      @Override
+      public void close() {
+        socket.close();
+      }
+    };
+  }
+
+  private Message read(byte[] bytes) {
+    try {
+      return codec.read(bytes);
+    } catch (RefusedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private byte[] write(Message message) {
+    return codec.write(message);
+  }
+
+  @Override
+  public void start(Loop loop) throws IOException {
+    real.start(loop);
+  }
+
+  @Override
+  public Listener listen(InetSocketAddress address, boolean first, Consumer<Channel> accepted)
+      throws IOException {
+    return real.listen(address, first, accepted);
+  }
+
+  @Override
+  public Listener inherit(Consumer<Channel> accepted) throws IOException {
+    return real.inherit(accepted);
+  }
+
+  @Override
+  public Attempt connect(InetSocketAddress address, Connected then) {
+    return real.connect(address, then);
+  }
+
+  @Override
+  public Attempt get(InetSocketAddress address, String path, Answer answer) {
+    return real.get(address, path, answer);
+  }
+
+  @Override
+  public void execute(Runnable task) {
+    real.execute(task);
+  }
+
+  @Override
+  public int descriptors() {
+    return real.descriptors();
+  }
+
+  @Override
+  public Clock clock() {
+    return real.clock();
+  }
+}
