Membership: scenes with planted bugs, lab scripts for the hard cases, rules shown to fail

The lab's scripts for members play in virtual time too. Rules in simulate and on the lab have bugs of their own: the dead who answer, one that nobody listens to, a restart that is not believed, sixty copies of each datagram.

Ruled out: a starved member as the test of the own health.

--- a/src/main/java/brassbank/lab/RealProxy.java
+++ b/src/main/java/brassbank/lab/RealProxy.java
@@ -222,7 +222,9 @@
 
   private void says(Machine to, byte[] bytes) {
     if (datagrams != null && bytes.length <= Datagrams.MOST_BYTES) {
-      datagrams.send(to, PORT, bytes);
+      for (int i = lab.tamper().copies(name); i > 0; i--) {
+        datagrams.send(to, PORT, bytes);
+      }
     }
   }
 
@@ -331,7 +333,9 @@
     stopping = false;
     listening = false;
     program = new Program(machine, name, 0, Integer.MAX_VALUE).passingOn();
-    hear();
+    if (datagrams == null || !lab.tamper().keepsClientsOf(name)) {
+      hear();
+    }
     world.tell(new Event.ProxyStarted(name));
     world.front().started(name, machine, new InetSocketAddress(machine.address(), PORT));
     long now = ++life;
@@ -542,7 +546,6 @@
       life++;
       if (lab.tamper().keepsClientsOf(name)) {
         program.stopListening();
-        datagrams.close();
         program = null;
       } else {
         processes.forEach(this::end);
--- a/src/main/java/brassbank/lab/Tamper.java
+++ b/src/main/java/brassbank/lab/Tamper.java
@@ -17,7 +17,12 @@
     return to;
   }
 
-  /** When this proxy is killed, its clients' connections are left as they are. */
+  /** How often a datagram of this proxy's goes on, once as it is. */
+  default int copies(String proxy) {
+    return 1;
+  }
+
+  /** When this proxy is killed, it lives on, and its clients' connections are left as they are. */
   default boolean keepsClientsOf(String proxy) {
     return false;
   }
--- a/src/main/java/brassbank/membership/Membership.java
+++ b/src/main/java/brassbank/membership/Membership.java
@@ -893,6 +893,11 @@
     return view;
   }
 
+  /** This member's own, now. */
+  public Incarnation incarnation() {
+    return self.incarnation;
+  }
+
   public Counters counters() {
     return counters;
   }
--- a/src/main/java/brassbank/sim/Joined.java
+++ b/src/main/java/brassbank/sim/Joined.java
@@ -9,9 +9,11 @@
 
 /** Since when which members have run and could hear each other; looked at with the rules. */
 final class Joined {
-  /** What membership promises to bear: a tenth is lost. */
+  /** What membership promises to bear: a tenth is lost, and all is late by so much, one way. */
   private static final double MOST_LOST = 0.1;
 
+  private static final long MOST_LATE = 300_000;
+
   private final Fabric fabric;
   private final Map<String, Instance> proxies;
   private final Map<String, Long> since = new HashMap<>();
@@ -33,7 +35,7 @@
         hear[i][j] =
             runs[i]
                 && runs[j]
-                && fabric.hear(all.get(i).machine(), all.get(j).machine(), MOST_LOST);
+                && fabric.hear(all.get(i).machine(), all.get(j).machine(), MOST_LOST, MOST_LATE);
         hear[j][i] = hear[i][j];
       }
     }
--- a/src/main/java/brassbank/sim/fault/LinkKinds.java
+++ b/src/main/java/brassbank/sim/fault/LinkKinds.java
@@ -168,6 +168,11 @@
       public long delay(Machine from, Machine to) {
         return ends.has(from, to) ? (long) (fault.size() * MILLI * jitter.between(0.5, 1.5)) : 0;
       }
+
+      @Override
+      public long mostDelay(Machine from, Machine to) {
+        return ends.has(from, to) ? (long) (fault.size() * MILLI * 1.5) : 0;
+      }
     };
   }
 
--- a/src/main/java/brassbank/sim/members/Flock.java
+++ b/src/main/java/brassbank/sim/members/Flock.java
@@ -3,6 +3,7 @@
 import brassbank.fleet.Fleet;
 import brassbank.membership.Activity;
 import brassbank.membership.Change;
+import brassbank.membership.Incarnation;
 import brassbank.membership.Joining;
 import brassbank.membership.Member;
 import brassbank.membership.Settings;
@@ -58,13 +59,23 @@
     private long clockStep;
     private long life;
 
+    /** The highest incarnation that it has had; null before its first start. */
+    private Incarnation highest;
+
+    private boolean goodbye;
+
     /** It has run, and has not been stopped, since then. */
     long soundSince;
 
     One(int number, int most) {
+      this(number, most, "n" + number);
+    }
+
+    /** With another's name. */
+    private One(int number, int most, String name) {
       this.number = number;
-      name = "n" + number;
-      machine = fabric.machine(name, ZONES.get(number % ZONES.size()), address(number));
+      this.name = name;
+      machine = fabric.machine("n" + number, ZONES.get(number % ZONES.size()), address(number));
       believes = new boolean[most];
     }
 
@@ -77,6 +88,7 @@
       SimClock clock = new SimClock(agenda, stream.bits() >>> 8, EPOCH_MILLIS + clockStep);
       Network network = wrapping.apply(new SimNetwork(program, clock, held -> {}));
       Net net = new Net(DESCRIPTORS, network);
+      goodbye = false;
       java.util.Arrays.fill(believes, false);
       believes[number] = true;
       soundSince = agenda.now();
@@ -111,6 +123,7 @@
     }
 
     void kill() {
+      remember();
       life++;
       program.kill();
     }
@@ -122,6 +135,9 @@
       program.later(
           0,
           () -> {
+            Incarnation last = mine.membership().incarnation();
+            highest = new Incarnation(last.birth(), last.raised() + 1);
+            goodbye = true;
             mine.close(true);
             mineToo.exit();
           });
@@ -136,6 +152,13 @@
       return fleet;
     }
 
+    private void remember() {
+      if (fleet != null && fleet.membership() != null) {
+        Incarnation now = fleet.membership().incarnation();
+        highest = highest == null || now.compareTo(highest) > 0 ? now : highest;
+      }
+    }
+
     private void changed(Change change) {
       Member after = change.after();
       Member before = change.before();
@@ -155,6 +178,17 @@
           && after.incarnation().compareTo(before.incarnation()) <= 0) {
         broken.add(name + " took " + other.name + " back at " + after.incarnation());
       }
+      other.remember();
+      if (after != null && other.highest != null && twins == 0) {
+        if (after.incarnation().compareTo(other.highest) > 0) {
+          broken.add(name + " has " + other.name + " at " + after.incarnation() + ", never had");
+        }
+        if (after.state() == State.DEAD
+            && other.goodbye
+            && after.incarnation().equals(other.highest)) {
+          broken.add(name + " takes the goodbye of " + other.name + " for a death");
+        }
+      }
       // One of whom a newcomer first hears as of a dead one was not declared so by it.
       boolean declared = before != null && before.state().live();
       if (declared && after != null && after.state() == State.DEAD && other.running()) {
@@ -205,6 +239,7 @@
   private final List<String> broken = new ArrayList<>();
   private final int most;
   private int stoppedDeaths;
+  private int twins;
   private Alarm alarm = (now, by, of) -> {};
   private BiPredicate<Machine, Machine> lastCut;
   private Disturbance cutting;
@@ -244,6 +279,14 @@
     return one;
   }
 
+  /** One more process with the name of another, at a machine of its own. */
+  One twin(One of) {
+    twins++;
+    One one = new One(all.size(), most, of.name);
+    all.add(one);
+    return one;
+  }
+
   /** Where all look for others, from their next start on. */
   void seeds(One... ones) {
     seeds.clear();
--- a/src/main/java/brassbank/sim/members/MembersDrillCommand.java
+++ b/src/main/java/brassbank/sim/members/MembersDrillCommand.java
@@ -93,7 +93,7 @@
   private Scene.Result quietly(Scene scene, long seed, Settings settings) {
     Log.onThisThread(event -> {});
     try {
-      return scene.play(seed, members, settings, UnaryOperator.identity());
+      return scene.play(seed, members, scene.fitting(settings), UnaryOperator.identity());
     } finally {
       Log.onThisThread(null);
     }
--- a/src/main/java/brassbank/sim/members/Scene.java
+++ b/src/main/java/brassbank/sim/members/Scene.java
@@ -61,7 +61,7 @@
   LEAVE {
     @Override
     void play(Flock flock, Result result) {
-      for (int i = 0; i < 4; i++) {
+      for (int i = 0; i < Math.min(4, flock.all().size() / 3); i++) {
         One one = living(flock);
         one.leave();
         result.took(flock.until(LIMIT, () -> flock.allBelieve(one, false)));
@@ -226,6 +226,122 @@
     }
   },
 
+  /** As a cut of half a minute, and the addresses of the file are those of members long dead. */
+  CUT_WITHOUT_SEEDS {
+    @Override
+    void play(Flock flock, Result result) {
+      List<One> seeds = List.copyOf(flock.all().subList(0, SEEDS));
+      seeds.forEach(One::kill);
+      result.took(flock.until(LIMIT, flock::allTrue));
+      halves(flock, result, 30 * SECOND);
+    }
+  },
+
+  /** Whoever is dead for long enough is forgotten. */
+  FORGET {
+    @Override
+    void play(Flock flock, Result result) {
+      One one = living(flock);
+      one.kill();
+      result.took(flock.until(LIMIT, () -> flock.allBelieve(one, false)));
+      flock.run(FORGET_AFTER + 5 * SECOND);
+      for (One other : flock.all()) {
+        if (other.running()
+            && other.fleet().view().members().stream()
+                .anyMatch(member -> member.name().equals(one.name))) {
+          result.broken.add(other.name + " still remembers " + one.name);
+        }
+      }
+    }
+
+    @Override
+    Settings fitting(Settings settings) {
+      return settings.forget(FORGET_AFTER);
+    }
+  },
+
+  /** Half of all datagrams come twice, and one in ten six seconds late, while some restart. */
+  OLD_DATAGRAMS {
+    @Override
+    void play(Flock flock, Result result) {
+      Draws.Stream jitter = flock.stream();
+      Disturbance old =
+          new Disturbance() {
+            @Override
+            public double doublesDatagrams(Machine from, Machine to) {
+              return 0.5;
+            }
+
+            @Override
+            public long delay(Machine from, Machine to) {
+              return jitter.chance(0.1) ? 6 * SECOND : 0;
+            }
+
+            @Override
+            public boolean touches(Machine from, Machine to) {
+              return true;
+            }
+          };
+      flock.fabric().begin(old);
+      for (int i = 0; i < 6; i++) {
+        One one = living(flock);
+        one.kill();
+        flock.run(SECOND);
+        one.start();
+        flock.run(4 * SECOND);
+      }
+      flock.fabric().end(old);
+      flock.run(6 * SECOND);
+      result.took(flock.until(LIMIT, flock::allTrue));
+    }
+  },
+
+  /** Goodbyes while three of ten datagrams are lost. */
+  LEAVE_IN_LOSS {
+    @Override
+    void play(Flock flock, Result result) {
+      Disturbance loss =
+          new Disturbance() {
+            @Override
+            public double losesDatagrams(Machine from, Machine to) {
+              return 0.3;
+            }
+          };
+      flock.fabric().begin(loss);
+      LEAVE.play(flock, result);
+      flock.fabric().end(loss);
+    }
+  },
+
+  /** One runs for 50 of each 500 ms: it must not blame the others. */
+  STARVED {
+    @Override
+    void play(Flock flock, Result result) {
+      One one = living(flock);
+      for (int i = 0; i < 60; i++) {
+        one.stop(450 * Agenda.MILLI);
+        flock.run(500 * Agenda.MILLI);
+      }
+      flock.run(SECOND);
+      result.took(flock.until(LIMIT, flock::allTrue));
+    }
+  },
+
+  /**
+   * One hears nobody for five seconds: its own health is what makes it slow to blame the others.
+   */
+  DEAF {
+    @Override
+    void play(Flock flock, Result result) {
+      One one = flock.all().get(1);
+      flock.cut((a, b) -> number(b) == 1);
+      flock.run(5 * SECOND);
+      result.blamed = (int) one.fleet().membership().counters().suspicions();
+      flock.heal();
+      result.took(flock.until(LIMIT, flock::allTrue));
+    }
+  },
+
   /** All but one are killed, and start again ten seconds later, at once. */
   ALL_BUT_ONE {
     @Override
@@ -241,6 +357,9 @@
     }
   };
 
+  /** In {@link #FORGET}, for so long the dead are remembered. */
+  static final long FORGET_AFTER = 20 * Agenda.SECOND;
+
   private static final long SECOND = Agenda.SECOND;
   private static final long LIMIT = 40 * SECOND;
 
@@ -257,6 +376,9 @@
     String firstFalse = "";
     int never;
 
+    /** Suspicions that a member had that was ill itself. */
+    int blamed;
+
     /** Views in which a member died that was only stopped. */
     int stoppedDeaths;
 
@@ -300,6 +422,11 @@
     return result;
   }
 
+  /** The settings as the scene needs them. */
+  Settings fitting(Settings settings) {
+    return settings;
+  }
+
   private static One living(Flock flock) {
     List<One> living = flock.all().stream().filter(One::running).toList();
     return flock.stream().pick(living);
--- a/src/main/java/brassbank/sim/net/Disturbance.java
+++ b/src/main/java/brassbank/sim/net/Disturbance.java
@@ -45,6 +45,11 @@
     return 0;
   }
 
+  /** The most that {@link #delay} says on this way, for whoever must not draw from its chance. */
+  default long mostDelay(Machine from, Machine to) {
+    return 0;
+  }
+
   /** Bytes a second that one connection gets on this way, at most. */
   default long bandwidth(Machine from, Machine to) {
     return Long.MAX_VALUE;
--- a/src/main/java/brassbank/sim/net/Fabric.java
+++ b/src/main/java/brassbank/sim/net/Fabric.java
@@ -191,9 +191,23 @@
     return false;
   }
 
-  /** Whether datagrams pass both ways between two machines, but for some that are lost. */
-  public boolean hear(Machine a, Machine b, double mostLost) {
-    return !blocked(a, b) && !blocked(b, a) && lost(a, b) <= mostLost && lost(b, a) <= mostLost;
+  /**
+   * Whether datagrams pass both ways between two machines, but for this share that is lost, and are
+   * late by so much at most.
+   */
+  public boolean hear(Machine a, Machine b, double mostLost, long mostLate) {
+    return !blocked(a, b)
+        && !blocked(b, a)
+        && Math.max(lost(a, b), lost(b, a)) <= mostLost
+        && Math.max(late(a, b), late(b, a)) <= mostLate;
+  }
+
+  private long late(Machine from, Machine to) {
+    long late = 0;
+    for (Disturbance disturbance : disturbances) {
+      late += disturbance.mostDelay(from, to);
+    }
+    return late;
   }
 
   private double lost(Machine from, Machine to) {
--- a/src/test/java/brassbank/lab/LabIT.java
+++ b/src/test/java/brassbank/lab/LabIT.java
@@ -36,9 +36,15 @@
   private static final Path ROOT = Path.of("").toAbsolutePath();
   private static final Lab.Watcher NOBODY = (lab, now) -> {};
 
+  /** All of the lab's, and of the fleet's own two; the others of these take minutes. */
   static Stream<Path> scripts() throws IOException {
+    Path members = Path.of("src/test/resources/lab-members");
     try (Stream<Path> files = Files.list(SCRIPTS)) {
-      return files.sorted().toList().stream();
+      return Stream.concat(
+          Stream.of(
+              members.resolve("restarts-faster-than-noticed.toml"),
+              members.resolve("one-of-five-is-killed.toml")),
+          files.sorted().toList().stream());
     }
   }
 
@@ -166,6 +172,40 @@
             "no task of the proxy fails");
   }
 
+  @Test
+  void catchesEachBreachOfMembershipThatIsPlanted() throws Exception {
+    long[] now = {0};
+    Tamper links =
+        new Tamper() {
+          @Override
+          public int copies(String proxy) {
+            return proxy.equals("n1") && now[0] > 12_000_000
+                ? 0
+                : proxy.equals("n3") && now[0] > 3_000_000 ? 60 : 1;
+          }
+
+          @Override
+          public boolean keepsClientsOf(String proxy) {
+            return true;
+          }
+        };
+    Lab.Outcome outcome =
+        played(
+            Path.of("src/test/resources/lab-planted/members.toml"),
+            links,
+            (lab, at) -> now[0] = at);
+    assertThat(
+            outcome.counts().entrySet().stream()
+                .filter(entry -> entry.getValue() > 0)
+                .map(java.util.Map.Entry::getKey)
+                .collect(Collectors.toList()))
+        .contains(
+            "whoever is dead is dead in each view",
+            "nobody who can be heard is declared dead",
+            "all views are equal, and the truth, after the faults",
+            "datagrams and bytes a second of one member");
+  }
+
   private static void log(RealProxy proxy, String line) {
     try {
       Files.writeString(proxy.logs().get(0), line, StandardOpenOption.APPEND);
--- a/src/test/java/brassbank/sim/members/Spoiled.java
+++ b/src/test/java/brassbank/sim/members/Spoiled.java
@@ -10,14 +10,18 @@
 import brassbank.sources.Clock;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.function.UnaryOperator;
 
 /** A network whose datagrams are read and spoiled on their way; everything else is as it was. */
 public class Spoiled implements Network {
   private final Network real;
   private final Codec codec;
+  private final Map<String, Update> senders = new HashMap<>();
 
   public Spoiled(Network real, String fleet) {
     this.real = real;
@@ -39,6 +43,22 @@
     return List.of();
   }
 
+  /** The message with no more than these things told in it. */
+  public static Message only(Message message, Predicate<Update> kept) {
+    return new Message(
+        message.kind(),
+        message.sequence(),
+        message.sender(),
+        message.digest(),
+        message.target(),
+        message.updates().stream().filter(kept).toList());
+  }
+
+  /** What this one of a name has said last of itself; null where nothing came. */
+  protected Update known(String name) {
+    return senders.get(name);
+  }
+
   /** The message with each thing told in it replaced, its sender's own word among them. */
   static Message with(Message message, UnaryOperator<Update> change) {
     return new Message(
@@ -54,7 +74,12 @@
   public Datagrams datagrams(InetSocketAddress address, Heard heard) throws IOException {
     Datagrams socket =
         real.datagrams(
-            address, (from, bytes) -> heard(read(bytes)).forEach(m -> heard.heard(from, write(m))));
+            address,
+            (from, bytes) -> {
+              Message message = read(bytes);
+              senders.put(message.sender().name(), message.sender());
+              heard(message).forEach(one -> heard.heard(from, write(one)));
+            });
     return new Datagrams() {
       @Override
       public void send(InetSocketAddress to, byte[] bytes) {
