--- a/src/main/java/brassbank/grizzly/GrizzlyNetwork.java
+++ b/src/main/java/brassbank/grizzly/GrizzlyNetwork.java
@@ -175,7 +175,7 @@
   /** Grizzly's own transport for datagrams has threads of its own: this has the one selector's. */
   @Override
   public Datagrams datagrams(InetSocketAddress address, Heard heard) throws IOException {
-    return new KernelDatagrams(selector, address, heard);
+    return KernelDatagrams.open(selector, address, heard);
   }
 
   @Override
--- a/src/main/java/brassbank/grizzly/KernelDatagrams.java
+++ b/src/main/java/brassbank/grizzly/KernelDatagrams.java
@@ -25,7 +25,13 @@
   private final Network.Heard heard;
   private final ByteBuffer buffer = ByteBuffer.allocate(LONGEST);
 
-  KernelDatagrams(TurningSelector selector, InetSocketAddress address, Network.Heard heard)
+  /** By its contract's type, so that whoever opens none loads neither. */
+  static Network.Datagrams open(
+      TurningSelector selector, InetSocketAddress address, Network.Heard heard) throws IOException {
+    return new KernelDatagrams(selector, address, heard);
+  }
+
+  private KernelDatagrams(TurningSelector selector, InetSocketAddress address, Network.Heard heard)
       throws IOException {
     this.heard = heard;
     channel = DatagramChannel.open();
--- a/src/main/java/brassbank/membership/Membership.java
+++ b/src/main/java/brassbank/membership/Membership.java
@@ -730,6 +730,9 @@
     changedAt = lived;
     settled = false;
     out.changed(new Change(version, before, after));
+    if (after != null && roster.overfull()) {
+      forget(out);
+    }
   }
 
   // ------------------------------------------------------------------- self
--- a/src/main/java/brassbank/membership/News.java
+++ b/src/main/java/brassbank/membership/News.java
@@ -21,6 +21,8 @@
     }
   }
 
+  private static final int ROOM = 64;
+
   private final Map<String, Item> items = new HashMap<>();
 
   /** The least told first, by and large: what is new comes first, what was told goes last. */
@@ -28,22 +30,21 @@
 
   /** It is news again, however often it was told. */
   void of(Entry entry) {
-    Item old = items.put(entry.name, new Item(entry));
-    if (old != null) {
-      order.remove(old);
+    Item item = new Item(entry);
+    items.put(entry.name, item);
+    order.addFirst(item);
+    // What was replaced stays in the order until it is met, but not without bound.
+    if (order.size() > 2 * items.size() + ROOM) {
+      order.removeIf(one -> items.get(one.about.name) != one);
     }
-    order.addFirst(items.get(entry.name));
   }
 
   void forget(Entry entry) {
-    Item old = items.remove(entry.name);
-    if (old != null) {
-      order.remove(old);
-    }
+    items.remove(entry.name);
   }
 
   boolean isEmpty() {
-    return order.isEmpty();
+    return items.isEmpty();
   }
 
   /**
@@ -54,6 +55,10 @@
     int left = room;
     List<Item> again = new ArrayList<>();
     while (!order.isEmpty()) {
+      if (items.get(order.peek().about.name) != order.peek()) {
+        order.poll();
+        continue;
+      }
       Update update = order.peek().about.update(now);
       if (update.size() > left || into.size() >= Message.MOST_UPDATES) {
         break;
@@ -74,7 +79,11 @@
   @Override
   public String toString() {
     StringBuilder text = new StringBuilder();
-    order.forEach(item -> text.append(item.about.name).append(item.told).append(','));
+    for (Item item : order) {
+      if (items.get(item.about.name) == item) {
+        text.append(item.about.name).append(item.told).append(',');
+      }
+    }
     return text.toString();
   }
 }
--- a/src/main/java/brassbank/membership/Roster.java
+++ b/src/main/java/brassbank/membership/Roster.java
@@ -48,6 +48,11 @@
     return gone;
   }
 
+  /** Whether more are remembered than may be, by so many that it is worth a look at all. */
+  boolean overfull() {
+    return gone.size() > MOST_REMEMBERED + MOST_REMEMBERED / 16;
+  }
+
   Iterable<Entry> all() {
     return all.values();
   }
--- a/src/main/java/brassbank/sim/members/Flock.java
+++ b/src/main/java/brassbank/sim/members/Flock.java
@@ -34,6 +34,7 @@
   static final int PORT = 7_075;
   private static final long SECOND = Agenda.SECOND;
   private static final long EPOCH_MILLIS = 1_767_225_600_000L;
+  private static final int THIRDS = 50;
   private static final int RUNTIME = 20;
   private static final int DESCRIPTORS = 64;
 
@@ -209,15 +210,19 @@
       if (lastCut == null || (healedAt <= since && !cut) || joined(this, other)) {
         return true;
       }
-      return all.stream()
-          .anyMatch(
-              third ->
-                  third != this
-                      && third != other
-                      && third.running()
-                      && third.soundSince <= since
-                      && joined(this, third)
-                      && joined(third, other));
+      // Of a large flock a few thirds are tried: each death asks.
+      for (int i = 0; i < all.size(); i += 1 + all.size() / THIRDS) {
+        One third = all.get(i);
+        if (third != this
+            && third != other
+            && third.running()
+            && third.soundSince <= since
+            && joined(this, third)
+            && joined(third, other)) {
+          return true;
+        }
+      }
+      return false;
     }
 
     boolean believes(One other) {
--- a/src/test/java/brassbank/config/file/OptionsFileTest.java
+++ b/src/test/java/brassbank/config/file/OptionsFileTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import brassbank.membership.Joining;
 import brassbank.relay.limits.RelayLimits;
 import brassbank.relay.limits.SideLimits;
 import java.nio.file.Files;
@@ -44,6 +45,43 @@
     assertThat(relay.target().rate()).isEqualTo(2048);
   }
 
+  @Test
+  void takesAFleetAndTellsWhatIsWrongWithOne() {
+    Joining joining =
+        OptionsFile.parse(
+                "x.toml",
+                """
+                [membership]
+                fleet = "leith"
+                listen = "0.0.0.0:7075"
+                advertise = "[::1]:7075"
+                seeds = ["10.0.0.1:7075", "10.0.0.2:7076"]
+                suspicion = "3 s"
+                """)
+            .options()
+            .orElseThrow()
+            .joining();
+    assertThat(joining.seeds()).hasSize(2);
+    assertThat(joining.settings().suspicion()).isEqualTo(3_000_000);
+    assertThat(joining.at(null).advertised().getPort()).isEqualTo(7075);
+    assertThat(OptionsFile.parse("x.toml", "").options().orElseThrow().joining()).isNull();
+    assertThat(
+            problems(
+                """
+                [membership]
+                listen = "host:7075"
+                advertise = "10.0.0.1:0"
+                seeds = "10.0.0.1:7075"
+                forget = "1 s"
+                """))
+        .hasSize(4);
+    assertThat(problems("[membership]\nseeds = []\n"))
+        .containsExactly(
+            "x.toml:2: membership.fleet is missing, without which there is no membership");
+    assertThat(problems("[membership]\nfleet = \"x\"\nadvertise = \"0.0.0.0:1\"\n"))
+        .containsExactly("x.toml:3: membership.advertise must be one machine's address");
+  }
+
   @Test
   void tellsAllThatIsWrongAtOnceWithTheLineOfEach() {
     assertThat(
