Membership: a death by hearsay waits until the member was told, missed news is given again

Cause: the member that met the other side first had five hundred to tell that they are held for dead, ten in a beat, and their time to contradict ran before they were told. It begins with the telling now; while there is much news, up to eight hear of it in a beat.

Ruled out: more tellings in a beat alone (bytes grow with the fleet, and the race stays).

--- a/src/main/java/brassbank/membership/Entry.java
+++ b/src/main/java/brassbank/membership/Entry.java
@@ -26,6 +26,11 @@
   /** It is to hear what is said of it. */
   boolean toBeTold;
 
+  /** Who said so in a whole view, and of which incarnation; null once it has been told. */
+  String hearsay;
+
+  Incarnation hearsayOf;
+
   Entry(Update update, long since) {
     name = update.name();
     take(update, since);
--- a/src/main/java/brassbank/membership/Membership.java
+++ b/src/main/java/brassbank/membership/Membership.java
@@ -25,6 +25,11 @@
   /** Others that are asked to ping for one, and that hear of news in one beat (both papers: 3). */
   private static final int FANOUT = 3;
 
+  /** While there is more news than goes into one datagram, so many more hear of it. */
+  private static final int MORE_LISTENERS = 5;
+
+  private static final int NEWS_IN_ONE = 20;
+
   /** One of the dead is asked each so many beats whether it is back behind a cut. */
   private static final int REACH_BEATS = 10;
 
@@ -349,7 +354,8 @@
     if (news.isEmpty()) {
       return;
     }
-    for (Entry one : roster.some(FANOUT, null, chance)) {
+    int listeners = FANOUT + Math.min(MORE_LISTENERS, news.size() / NEWS_IN_ONE);
+    for (Entry one : roster.some(listeners, null, chance)) {
       if (!news.isEmpty()) {
         out.send(one.address, message(Kind.NEWS, 0, "", one));
       }
@@ -360,6 +366,13 @@
     for (int i = 0; i < TOLD_AT_ONCE && !toBeTold.isEmpty(); i++) {
       Entry one = toBeTold.remove(chance.nextInt(toBeTold.size()));
       one.toBeTold = false;
+      if (one.hearsay != null) {
+        // Its time to contradict begins when it is told, however many are to be told first.
+        if (one.state == State.ALIVE && one.incarnation.equals(one.hearsayOf)) {
+          suspect(one, one.hearsay, out);
+        }
+        one.hearsay = null;
+      }
       if (one.state != State.LEFT && !one.by.isEmpty()) {
         out.send(one.address, message(Kind.PING, next(), one.name, one));
       }
@@ -584,6 +597,9 @@
       return;
     }
     int newer = order.compare(update.incarnation(), entry.incarnation);
+    if (update.state() == State.SUSPECT && (newer < 0 || (newer == 0 && !entry.state.live()))) {
+      correct(teller, entry, out);
+    }
     if (newer > 0) {
       newer(entry, update, kind, teller, out);
     } else if (newer == 0) {
@@ -602,6 +618,17 @@
     }
   }
 
+  /** Whoever suspects what is long known to be otherwise has missed news, and gets it again. */
+  private void correct(String teller, Entry entry, Outbox out) {
+    Entry missed = roster.get(teller);
+    if (missed != null && missed.state.live() && answers.spend(1, now)) {
+      out.send(
+          missed.address,
+          new Message(
+              Kind.NEWS, 0, self.update(now), roster.digest(), "", List.of(entry.update(now))));
+    }
+  }
+
   private void meet(Update update, Outbox out) {
     long since = now - update.age() * SECOND;
     if (update.state().live() ? !roster.room() : now - since >= settings.forget()) {
@@ -656,27 +683,16 @@
   }
 
   private void doubt(Entry entry, String by, boolean pass, Outbox out) {
-    if (entry.state == State.ALIVE) {
-      counters.suspicions++;
-      Member before = entry.member();
-      int others = roster.live().size() - 1;
-      double tens = Math.max(1, Math.log10(others + 2.0));
-      long least = (long) (settings.suspicion() * tens) + 2 * roundTrip.most();
-      roster.change(
-          entry,
-          () -> {
-            entry.state = State.SUSPECT;
-            entry.by = by;
-            entry.since = now;
-            entry.suspicion = new Suspicion(by, lived, least, least * settings.stretch(), others);
-          });
-      changed(before, entry.member(), out);
-      if (by.equals(self.name) || !pass) {
+    if (entry.state == State.ALIVE && !pass) {
+      entry.hearsay = by;
+      entry.hearsayOf = entry.incarnation;
+      tell(entry);
+    } else if (entry.state == State.ALIVE) {
+      suspect(entry, by, out);
+      if (by.equals(self.name)) {
         tell(entry);
       }
-      if (pass) {
-        news.of(entry);
-      }
+      news.of(entry);
     } else if (entry.state == State.SUSPECT && entry.suspicion.confirm(by)) {
       entry.by = by;
       if (pass) {
@@ -685,6 +701,23 @@
     }
   }
 
+  private void suspect(Entry entry, String by, Outbox out) {
+    counters.suspicions++;
+    Member before = entry.member();
+    int others = roster.live().size() - 1;
+    double tens = Math.max(1, Math.log10(others + 2.0));
+    long least = (long) (settings.suspicion() * tens) + 2 * roundTrip.most();
+    roster.change(
+        entry,
+        () -> {
+          entry.state = State.SUSPECT;
+          entry.by = by;
+          entry.since = now;
+          entry.suspicion = new Suspicion(by, lived, least, least * settings.stretch(), others);
+        });
+    changed(before, entry.member(), out);
+  }
+
   private void endSuspicions(Outbox out) {
     if (!roster.suspects()) {
       return;
@@ -871,7 +904,8 @@
       if (entry.suspicion != null) {
         text.append(entry.suspicion.deadline() - lived).append(lived - entry.suspicion.begun());
       }
-      text.append(entry.state.live() ? 0 : now - entry.since).append(entry.toBeTold).append(';');
+      text.append(entry.state.live() ? 0 : now - entry.since).append(entry.toBeTold);
+      text.append(entry.hearsay).append(entry.hearsayOf).append(';');
     }
     for (Probe probe : probes.values()) {
       text.append(probe.target).append(probe.incarnation).append(probe.askAt - lived);
--- a/src/main/java/brassbank/membership/News.java
+++ b/src/main/java/brassbank/membership/News.java
@@ -43,6 +43,10 @@
     items.remove(entry.name);
   }
 
+  int size() {
+    return items.size();
+  }
+
   boolean isEmpty() {
     return items.isEmpty();
   }
