--- a/src/main/java/brassbank/OwnOptions.java
+++ b/src/main/java/brassbank/OwnOptions.java
@@ -80,6 +80,11 @@
         throw new UnusableException(
             List.of(file + ": the proxy's name cannot be a member's: " + config.name()));
       }
+      String zone = config.settings().zone();
+      if (zone != null && !zone.isEmpty() && !Update.nameable(zone)) {
+        throw new UnusableException(
+            List.of(file + ": the proxy's zone cannot be a member's: " + zone));
+      }
       return whole;
     }
   }
--- a/src/main/java/brassbank/fleet/Journal.java
+++ b/src/main/java/brassbank/fleet/Journal.java
@@ -37,10 +37,7 @@
       left++;
       return;
     }
-    if (left > 0) {
-      LOG.info("members-changed", value("count", left));
-      left = 0;
-    }
+    tellLeft();
     Member one = change.after() == null ? change.before() : change.after();
     LOG.info(
         "member-changed",
@@ -52,11 +49,19 @@
         value("version", change.version()));
   }
 
+  private void tellLeft() {
+    if (left > 0) {
+      LOG.info("members-changed", value("count", left));
+      left = 0;
+    }
+  }
+
   private static String text(Enum<?> value) {
     return value.name().toLowerCase(Locale.ROOT);
   }
 
   void settled(long version, int live) {
+    tellLeft();
     LOG.info("fleet-settled", value("live", live), value("version", version));
   }
 
--- a/src/main/java/brassbank/membership/Update.java
+++ b/src/main/java/brassbank/membership/Update.java
@@ -1,7 +1,6 @@
 package brassbank.membership;
 
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 
 /**
  * What one member tells another of a third, or of itself.
@@ -19,7 +18,7 @@
     Activity activity,
     int age,
     String by) {
-  /** Bytes of a name or a zone, in UTF-8. */
+  /** Letters of a name or a zone, which are ASCII. */
   public static final int MOST_NAME = 63;
 
   public static final int MOST_AGE = 65_535;
@@ -30,16 +29,12 @@
   /** Bytes it takes in a datagram. */
   public int size() {
     return FIXED
-        + length(name)
-        + length(zone)
-        + length(by)
+        + name.length()
+        + zone.length()
+        + by.length()
         + (address.getAddress().getAddress().length);
   }
 
-  private static int length(String text) {
-    return text.getBytes(StandardCharsets.UTF_8).length;
-  }
-
   /** Whether a name or a zone may be told: some visible ASCII, and not too much of it. */
   public static boolean nameable(String text) {
     return !text.isEmpty()
--- a/src/main/java/brassbank/proxy/Member.java
+++ b/src/main/java/brassbank/proxy/Member.java
@@ -18,7 +18,7 @@
             net,
             joining.at(config.listen()),
             config.name(),
-            config.settings().zone(),
+            config.settings().zone() == null ? "" : config.settings().zone(),
             new Randomness(config.seed()).part("fleet of " + config.name()),
             () -> activity(decider));
   }
