--- a/src/main/java/ashspar/Admission.java
+++ b/src/main/java/ashspar/Admission.java
@@ -1,8 +1,8 @@
 package ashspar;
 
-import ashspar.Balancer.Rules;
 import ashspar.Balancer.State;
 import ashspar.limits.ColdShare;
+import ashspar.limits.Groups;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -10,13 +10,8 @@
  * Which server a request may go to now; those that have just started by their share of a budget.
  */
 final class Admission {
-  /** Of the fall-over budget: places of two windows may be taken within one. */
-  private static final double COLD_SAFETY = 0.45;
-
   static final double COLD_HEAVIEST = 2; // against the mean
 
-  private static final double SECOND = Node.SECOND;
-
   private final Node node;
   private final List<Server> cold = new ArrayList<>();
 
@@ -56,7 +51,7 @@
 
   /** A server has started, perhaps just now. */
   void started(Server s) {
-    s.coldShare = new ColdShare(node.settings.rank() + Fleet.mix(s.id), node.settings.nodes());
+    s.coldShare = new ColdShare(node.settings.rank() + Groups.number(s.id), node.settings.nodes());
     if (warmth(s) < 1 && !cold.contains(s)) {
       cold.add(s);
     }
@@ -64,27 +59,20 @@
 
   /** The share of its capacity that a server surely has, by the slowest warm-up stated. */
   double warmth(Server s) {
-    double warm = rules().warmUp() / SECOND;
-    double least = rules().coldShare();
-    return s.since > 0 && age(s) < warm ? least + (1 - least) * age(s) / warm : 1;
+    return s.since > 0 ? node.limits.warmUp().warmth(age(s)) : 1;
   }
 
   /** A place is this node's for as long as the window over which the server falls. */
   boolean coldAllows(Server s) {
-    return warmth(s) >= 1 || s.coldShare.free(warming(s), age(s), rules().fallWindow() / SECOND);
+    return warmth(s) >= 1 || s.coldShare.free(warming(s), age(s), node.limits.warmUp().window());
   }
 
   private ColdShare.Warming warming(Server s) {
-    double most = COLD_SAFETY * rules().fallMultiple() * node.limits.turnover(s.limits);
-    return new ColdShare.Warming(most, rules().coldShare(), rules().warmUp() / SECOND);
+    return node.limits.warmUp().warming(node.limits.turnover(s.limits));
   }
 
   private double age(Server s) {
-    return Math.max(0, node.now - s.since) / SECOND;
-  }
-
-  private Rules rules() {
-    return node.settings.rules();
+    return Math.max(0, node.now - s.since) / (double) Node.SECOND;
   }
 
   void coldTake(Server s, double cost) {
--- a/src/main/java/ashspar/Fleet.java
+++ b/src/main/java/ashspar/Fleet.java
@@ -3,6 +3,7 @@
 import ashspar.Balancer.ListKind;
 import ashspar.Balancer.ServerEntry;
 import ashspar.Balancer.State;
+import ashspar.limits.Groups;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -97,7 +98,7 @@
   /** Nodes begin at evenly spaced places of one common order, so that their first turns differ. */
   private void firstTurns() {
     List<Server> order = new ArrayList<>(node.ready);
-    order.sort(Comparator.comparingInt((Server s) -> mix(s.id)).thenComparing(s -> s.id));
+    order.sort(Comparator.comparingInt((Server s) -> Groups.number(s.id)).thenComparing(s -> s.id));
     node.weights.meanSize = order.stream().mapToDouble(s -> s.size).average().orElse(1);
     double start = node.settings.rank() / (double) node.settings.nodes();
     for (int i = 0; i < order.size(); i++) {
@@ -108,10 +109,4 @@
     }
     node.wheels.rebuild();
   }
-
-  /** A number that all nodes have for a server. */
-  static int mix(String id) {
-    int h = id.hashCode() * 0x9E3779B1;
-    return h ^ (h >>> 15);
-  }
 }
--- a/src/main/java/ashspar/Node.java
+++ b/src/main/java/ashspar/Node.java
@@ -1,10 +1,13 @@
 package ashspar;
 
 import ashspar.Balancer.RequestClass;
+import ashspar.Balancer.Rules;
 import ashspar.Balancer.Settings;
 import ashspar.Balancer.SizeMeaning;
 import ashspar.Balancer.Tenant;
 import ashspar.limits.Limits;
+import ashspar.limits.Pause;
+import ashspar.limits.WarmUp;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -18,8 +21,6 @@
 
   static final long INTERVAL = SECOND; // between two computations of all weights
 
-  private static final long LOG_PAUSE = 5 * SECOND; // between two lines of the log
-
   final Balancer.Actions actions;
   final SplittableRandom random;
   final long startedAt;
@@ -42,11 +43,7 @@
   /** Clients' first tries so far. */
   double arrivals;
 
-  /** Mean of the hints, 0 while there is none. */
-  private double meanHint;
-
-  private double topWorth;
-  private long saidAt = Long.MIN_VALUE / 2;
+  private final Pause saying = new Pause(5 * SECOND);
 
   Node(long now, Settings settings, long seed, Balancer.Actions actions) {
     this.actions = actions;
@@ -60,12 +57,15 @@
   void configure(Settings changed) {
     settings = changed;
     classes.clear();
-    topWorth = 1e-3;
+    Rules rules = settings.rules();
+    double warm = rules.warmUp() / (double) SECOND;
+    double window = rules.fallWindow() / (double) SECOND;
+    WarmUp warmUp = new WarmUp(rules.coldShare(), warm, rules.fallMultiple(), window);
+    limits.configure(settings.nodes(), settings.overShareWorth(), warmUp);
     for (RequestClass type : settings.classes()) {
       classes.put(type.name(), type);
-      topWorth = Math.max(topWorth, type.worth());
+      limits.worths.ofClass(type.worth());
     }
-    limits.shares.configure(settings.nodes(), settings.overShareWorth());
     for (Tenant tenant : settings.tenants()) {
       limits.shares.tenant(tenant.name(), tenant.share(), tenant.quotaConnections());
     }
@@ -79,29 +79,18 @@
 
   /** A line for the operators, at most one in five seconds: a storm must not fill their logs. */
   void say(String text) {
-    if (now - saidAt >= LOG_PAUSE) {
-      saidAt = now;
+    if (saying.over(now)) {
       actions.log(text);
     }
   }
 
-  void hinted(double hint) {
-    if (hint > 0) {
-      meanHint = meanHint == 0 ? hint : meanHint + 0.05 * (hint - meanHint);
-    }
-  }
-
   /** A request's load against the mean request's, by its hint or else by what its class tells. */
   double cost(Held h) {
-    double hint = h.request.hint();
-    return hint > 0 && meanHint > 0
-        ? Math.min(10, Math.max(0.1, hint / meanHint))
-        : limits.estimate.against(h.type.name());
+    return limits.worths.cost(h.request.hint(), h.type.name());
   }
 
   /** A request's worth against the worthiest class's; little where its tenant is over its share. */
   double value(Held h) {
-    boolean over = limits.shares.over(h.request.tenant());
-    return h.type.worth() / topWorth * (over ? settings.overShareWorth() : 1);
+    return limits.worths.value(h.type.worth(), h.request.tenant());
   }
 }
--- a/src/main/java/ashspar/Policy.java
+++ b/src/main/java/ashspar/Policy.java
@@ -23,21 +23,13 @@
   private static final long MS = Node.MS;
   private static final long SECOND = Node.SECOND;
   private static final long PROBE_WAIT = 60 * MS; // at most: an answer takes a few ms
-  private static final long HOLD = 100 * MS; // before a refused client may come back, at least
   private static final long PROBE_REST = SECOND; // of a server that answered a probe with an error
-  private static final int STRAIN = 2; // delay notes in a row that are no short stall
   private static final long RELEASE = 25 * MS; // until places that time alone frees are looked for
   private static final int HEADS = 8; // most kinds of waiting requests that are tried in one look
-  private static final long MOVE_PAUSE = 3 * SECOND / 2; // until a report shows the last move
 
   /** Load taken for a server that turns a probe away as full: reports of such are not to be had. */
   private static final double FULL_LOAD = 1.1;
 
-  /** An attempt is waited for at least so long, or so many times what servers take on average. */
-  private static final long ACCEPT_LEAST = 600 * MS;
-
-  private static final double ACCEPT_TIMES = 8;
-  private static final double ACCEPT_STEP = 0.1; // weight of one attempt in that average
   private static final long TOKEN_TICK = 0;
   private static final long TOKEN_WATCH = 1;
   private static final long TOKEN_RELEASE = 2;
@@ -46,7 +38,6 @@
   final Node node;
   private final Fleet fleet;
   private long watchWait = 2 * SECOND;
-  private double meanAccept = ACCEPT_LEAST / ACCEPT_TIMES;
   private long releaseAt;
 
   /** Starts a node's balancer; the list of servers must follow. */
@@ -74,12 +65,12 @@
     Held h = held(request);
     boolean first = !request.midFlow() && !request.returning() && !request.repeat();
     node.arrivals += first ? 1 : 0;
-    node.hinted(request.hint());
+    node.limits.worths.hinted(request.hint());
     node.limits.retries.request(at);
     if (request.returning()) {
       node.limits.returned(at, request.key());
     }
-    node.probing.earn(request.repeat());
+    node.limits.probes.earn(node.settings.prices().probe(), request.repeat());
     // Close to the deadline no probe is waited for: a request that kept waiting was never answered.
     if (request.left() > PROBE_WAIT && node.settings.limits().probes()) {
       node.probing.lookAhead(h);
@@ -169,7 +160,7 @@
    */
   private long patience(Held h) {
     long left = h.deadline - node.now;
-    long usual = Math.max(ACCEPT_LEAST, (long) (ACCEPT_TIMES * meanAccept));
+    long usual = node.limits.patience.usual();
     boolean more = h.attempts < h.mostAttempts;
     boolean again = more && h.type.effect() == Effect.FREE && left > 2 * usual;
     return again && node.limits.retries.allows(node.now) ? usual : left;
@@ -186,11 +177,10 @@
   }
 
   private long comeBack(Held h) {
-    if (!node.settings.limits().retryAfter()) {
-      return 0;
-    }
-    long wait = node.limits.room.wait(h.request.tenant(), h.type.worth(), node.now);
-    return Math.min(Math.max(HOLD, wait), node.settings.limits().maxRetryAfter());
+    long most = node.settings.limits().maxRetryAfter();
+    return node.settings.limits().retryAfter()
+        ? node.limits.room.comeBack(h.request.tenant(), h.type.worth(), node.now, most)
+        : 0;
   }
 
   /** The one place where a request is forgotten, and where what it still holds is given back. */
@@ -239,7 +229,7 @@
     node.now = at;
     Held h = node.requests.get(id);
     if (h != null && h.at != null && !h.established && h.attempts == attempt + 1) {
-      meanAccept += ACCEPT_STEP * (elapsed - meanAccept);
+      node.limits.patience.accepted(elapsed);
       node.limits.answered(at, h.at.limits, elapsed);
       opened(h, h.at);
       node.wheels.unpark(h.at);
@@ -257,8 +247,8 @@
     if (kind == NoteKind.LOAD) {
       h.load = value >= 0 && value < 1e12 ? value : h.load;
       node.limits.estimate.told(h.type.name(), h.load / SECOND);
-    } else {
-      strain(h.at, value * MS > h.type.messageAim());
+    } else if (h.at.strain.note(at, value * MS > h.type.messageAim())) {
+      overloaded(h.at);
     }
   }
 
@@ -271,18 +261,6 @@
     relieve(s);
   }
 
-  private void strain(Server s, boolean slow) {
-    if (!slow) {
-      s.strain = 0;
-      return;
-    }
-    s.strain = node.now - s.strainedAt > 3 * Node.INTERVAL ? 1 : s.strain + 1;
-    s.strainedAt = node.now;
-    if (s.strain >= STRAIN) {
-      overloaded(s);
-    }
-  }
-
   @Override
   public void outcome(long at, Outcome outcome) {
     node.now = at;
@@ -297,7 +275,7 @@
     }
     Server was = h.at;
     Ending how = outcome.status().ending;
-    if (how == Ending.TIMED_OUT && outcome.elapsed() < 2 * meanAccept) {
+    if (how == Ending.TIMED_OUT && node.limits.patience.tooShort(outcome.elapsed())) {
       how = Ending.CALLED_OFF; // its deadline left it no time: that tells nothing of the server
     } else if (how == Ending.CALLED_OFF && !h.established && !outcome.closed()) {
       how = Ending.REFUSED; // a server that drains sends its clients away
@@ -313,7 +291,7 @@
       node.say(was.id + " goes on failing: it rests for " + rest / MS + " ms");
     }
     if (how == Ending.TIMED_OUT) {
-      meanAccept += ACCEPT_STEP * Math.max(0, outcome.elapsed() - meanAccept);
+      node.limits.patience.timedOut(outcome.elapsed());
     }
     if (outcome.closed() || h.established) {
       boolean broken = outcome.status() == Status.RESET || outcome.status() == Status.CANCELLED;
@@ -397,8 +375,7 @@
   private void relieve(Server s) {
     double share =
         s.open.isEmpty() ? 0 : Shedding.share(s.load(), node.limits.spare(node.now, s.limits));
-    if (share > 0 && node.now - s.movedAt >= MOVE_PAUSE) {
-      s.movedAt = node.now;
+    if (share > 0 && s.moving.over(node.now)) {
       ToDoubleFunction<Held> worth =
           h -> node.limits.worthAt(s.limits, node.value(h), h.request.group());
       ToDoubleFunction<Held> load = h -> Math.max(1, h.load);
--- a/src/main/java/ashspar/Probing.java
+++ b/src/main/java/ashspar/Probing.java
@@ -5,31 +5,22 @@
 /** Probes: when a server is asked for its load, and what becomes of one that does not answer. */
 final class Probing {
   private static final long FRESH = 600 * Node.MS; // a younger report is as good as a new one
-  private static final double SPEND = 0.012; // what probes may cost, in points of the result
   private static final int LOOK_AHEAD = 3; // servers: more herd all nodes to the one quiet server
 
   /** A report this old is renewed where connections are held: one that slowed down kept them. */
   private static final long STALE = 3 * Node.INTERVAL / 2;
 
   private final Node node;
-  private double probeCredit = 3;
 
   Probing(Node node) {
     this.node = node;
   }
 
-  /** A request that has come in pays for some probes. */
-  void earn(boolean repeat) {
-    double price = node.settings.prices().probe();
-    double each = price > 0 ? SPEND / price : 2 * LOOK_AHEAD;
-    probeCredit = Math.min(4 * LOOK_AHEAD, probeCredit + (repeat ? each / 3 : each));
-  }
-
   void probe(Server s) {
     boolean free = !s.probing && s.state == State.READY && node.now >= s.askFrom;
     if (free && node.settings.limits().probes()) {
       s.probing = true;
-      probeCredit--;
+      node.limits.probes.spend();
       node.actions.probe(s.id);
     }
   }
@@ -37,7 +28,7 @@
   /** Probes the servers whose turn comes next, so that the weights are true where they decide. */
   void lookAhead(Held h) {
     for (Server s : node.wheels.ahead(LOOK_AHEAD, s -> worthAsking(h, s))) {
-      if (node.now - s.reportAt > FRESH && probeCredit >= 1) {
+      if (node.now - s.reportAt > FRESH && node.limits.probes.some()) {
         probe(s);
       }
       if (s.probing) {
@@ -72,7 +63,7 @@
       if (!s.quiesced
           && node.now >= s.askFrom
           && node.now - s.reportAt > FRESH
-          && probeCredit >= 1) {
+          && node.limits.probes.some()) {
         probe(s);
       }
     }
--- a/src/main/java/ashspar/Server.java
+++ b/src/main/java/ashspar/Server.java
@@ -2,7 +2,9 @@
 
 import ashspar.Balancer.State;
 import ashspar.limits.ColdShare;
+import ashspar.limits.Pause;
 import ashspar.limits.ServerLimits;
+import ashspar.limits.Strain;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -41,11 +43,10 @@
   boolean quiesced;
   boolean probing;
   ColdShare coldShare; // of what it may be sent while it warms up
-  long movedAt = Long.MIN_VALUE / 2;
+  final Pause moving = new Pause(3 * Node.SECOND / 2); // until a report shows the last move
   long restUntil;
   long askFrom; // not probed before
-  int strain;
-  long strainedAt = Long.MIN_VALUE / 2;
+  final Strain strain = new Strain();
 
   final List<Held> waiting = new ArrayList<>(); // for the answer to a probe
   final Set<Held> open = new LinkedHashSet<>(); // own connections that stand here
--- a/src/main/java/ashspar/Weights.java
+++ b/src/main/java/ashspar/Weights.java
@@ -3,6 +3,8 @@
 import ashspar.Balancer.Metric;
 import ashspar.Balancer.SizeMeaning;
 import ashspar.Balancer.State;
+import ashspar.limits.Lives;
+import ashspar.limits.Means;
 import java.util.List;
 
 /**
@@ -26,14 +28,9 @@
 
   private static final double R_INPUT = 0.05;
   private static final double R_SIZE = 0.15;
-  private static final double[] MOST = {1.5, 10, 1e4}; // that each counts in its mean
   private static final double FAR = 150; // turns lost to a crossing, per point of its price
   private static final double LOAD_FLOOR = 0.4; // least index credited: no weight without bound
 
-  /** Power of the inverse load: 1 for connections that live this long, more for longer ones. */
-  private static final double POWER_LIFE = 20.0 * Node.SECOND;
-
-  private static final double POWER_MOST = 2.5;
   private static final long OVERDUE = 12 * Node.SECOND; // an older report's metrics are disabled
   private static final double FADE = 6.0 * Node.SECOND; // a report loses all but 1/e of its worth
 
@@ -42,7 +39,7 @@
 
   private final Node node;
   private final int[] fields = new int[R.length];
-  private final double[] means = {Double.NaN, Double.NaN, Double.NaN};
+  private final Means means = new Means(1.5, 10, 1e4); // each counts so much at most
   double meanSize = 1;
   private double meanInput;
 
@@ -51,14 +48,10 @@
   }
 
   void configure() {
-    fields[LOAD] = field(Metric.LOAD, Metric.UTILIZATION);
-    fields[BACKLOG] = field(Metric.BACKLOG_S, Metric.QUEUE);
-    fields[LATENCY] = field(Metric.LATENCY_MS, Metric.LATENCY_MS);
-  }
-
-  private int field(Metric first, Metric second) {
-    int at = node.settings.reportFields().indexOf(first);
-    return at >= 0 ? at : node.settings.reportFields().indexOf(second);
+    List<Metric> told = node.settings.reportFields();
+    fields[LOAD] = Means.field(told, Metric.LOAD, Metric.UTILIZATION);
+    fields[BACKLOG] = Means.field(told, Metric.BACKLOG_S, Metric.QUEUE);
+    fields[LATENCY] = told.indexOf(Metric.LATENCY_MS);
   }
 
   /** L(S): the weighted sum of the metrics, each as a multiple of its mean over the servers. */
@@ -69,9 +62,9 @@
     if (age <= OVERDUE) {
       double worth = Math.exp(-Math.max(0, age - Node.INTERVAL) / FADE);
       for (int m = 0; m < R.length; m++) {
-        if (!Double.isNaN(s.metrics[m]) && means[m] > 0) {
+        if (!Double.isNaN(s.metrics[m]) && means.of(m) > 0) {
           double value = Math.max(0, s.metrics[m] + (m == LOAD ? s.limits.added() : 0));
-          sum += R[m] * (1 + (value / means[m] - 1) * worth);
+          sum += R[m] * (1 + (value / means.of(m) - 1) * worth);
           weights += R[m];
         }
       }
@@ -88,7 +81,7 @@
 
   /** The mean of the reported loads, NaN while there is none. */
   double meanLoad() {
-    return means[LOAD];
+    return means.of(LOAD);
   }
 
   void report(Server s, List<Double> row) {
@@ -97,7 +90,7 @@
     }
     s.reportAt = node.now;
     for (int m = 0; m < R.length; m++) {
-      tell(s, m, value(row, fields[m]), 1.0 / Math.min(12, Math.max(4, node.ready.size())));
+      tell(s, m, Means.value(row, fields[m]), 1.0 / Math.min(12, Math.max(4, node.ready.size())));
     }
     s.limits.reported(node.now, s.metrics[LOAD], s.metrics[BACKLOG]);
   }
@@ -109,22 +102,9 @@
     }
   }
 
-  /** Capped: one server with minutes of work piled up must not hide the rest from the mean. */
   private void tell(Server s, int m, double value, double share) {
     s.metrics[m] = value;
-    if (!Double.isNaN(value)) {
-      double capped = Math.min(value, MOST[m]);
-      double mean = Double.isNaN(means[m]) ? capped : means[m] + share * (capped - means[m]);
-      means[m] = Math.max(1e-3, mean);
-    }
-  }
-
-  private static double value(List<Double> row, int field) {
-    if (field < 0 || field >= row.size()) {
-      return Double.NaN;
-    }
-    double value = row.get(field);
-    return value >= 0 && value < 1e6 ? value : Double.NaN;
+    means.tell(m, value, share);
   }
 
   /** The weight a server should have by its index: the inverse of its floored share of the load. */
@@ -132,15 +112,12 @@
     s.previousIndex = s.index;
     s.index = index(s);
     double level = Math.max(LOAD_FLOOR, (s.previousIndex + 3 * s.index) / 4);
-    double weight = Math.pow(1 / level, power());
+    double weight =
+        Math.pow(
+            1 / level, Lives.power(node.arrivals, node.now - node.startedAt, node.openConnections));
     return Math.max(0.02, weight * (node.sized() ? s.size / meanSize : 1)) * nearness(s);
   }
 
-  private double power() {
-    double rate = (node.arrivals + 1) / Math.max(5.0 * Node.SECOND, node.now - node.startedAt);
-    return Math.min(POWER_MOST, Math.max(1, node.openConnections / rate / POWER_LIFE));
-  }
-
   /** A server of another zone gets fewer turns, by what a crossing costs. */
   double nearness(Server s) {
     boolean far = s.zone != null && !s.zone.isEmpty() && !s.zone.equals(node.settings.zone());
--- a/src/main/java/ashspar/Wheels.java
+++ b/src/main/java/ashspar/Wheels.java
@@ -1,6 +1,7 @@
 package ashspar;
 
 import ashspar.Balancer.State;
+import ashspar.limits.Groups;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.Iterator;
@@ -12,17 +13,6 @@
 
 /** Weighted round robin over committed weights: each server's next turn, in virtual time. */
 final class Wheels {
-  /**
-   * By how many turns a server may be early for a request whose group it is liked for, on the
-   * ordinary path and in a full fleet, and the mean loads between which that grows. Who was early
-   * waits longer for the next turn, so that all get their share.
-   */
-  private static final double EARLY_LEAST = 0.1;
-
-  private static final double EARLY = 8;
-  private static final double EARLY_FROM = 0.4;
-  private static final double EARLY_FULL = 0.7;
-
   private static final int LOOKS = 20; // servers that one request compares, at most
 
   /** A place in the wheel; of two at the same time the one that was taken first comes first. */
@@ -95,7 +85,7 @@
     if (fresh && node.limits.noRoom.surely(node.now, node.value(h))) {
       return null;
     }
-    double early = group == null ? 0 : early();
+    double early = group == null ? 0 : Groups.early(node.weights.meanLoad());
     Server found = null;
     double best = Double.MAX_VALUE;
     double first = 0;
@@ -129,11 +119,6 @@
     return found;
   }
 
-  private double early() {
-    double load = (node.weights.meanLoad() - EARLY_FROM) / (EARLY_FULL - EARLY_FROM);
-    return EARLY_LEAST + (EARLY - EARLY_LEAST) * (load > 0 ? Math.min(1, load) : 0);
-  }
-
   void unpark(Server s) {
     if (s.parked && (s.state != State.READY || node.admission.open(s))) {
       parked.remove(s);
--- a/src/main/java/ashspar/limits/Groups.java
+++ b/src/main/java/ashspar/limits/Groups.java
@@ -75,4 +75,27 @@
       counts.computeIfPresent(group, (g, count) -> count > 1 ? count - 1 : null);
     }
   }
+
+  /**
+   * By how many turns a server may be early for a request whose group it is liked for, on the
+   * ordinary path and in a full fleet, and the mean loads between which that grows. Who was early
+   * waits longer for the next turn, so that all get their share.
+   */
+  private static final double EARLY_LEAST = 0.1;
+
+  private static final double EARLY = 8;
+  private static final double EARLY_FROM = 0.4;
+  private static final double EARLY_FULL = 0.7;
+
+  /** By how many turns, where the servers' mean load is this. */
+  public static double early(double meanLoad) {
+    double load = (meanLoad - EARLY_FROM) / (EARLY_FULL - EARLY_FROM);
+    return EARLY_LEAST + (EARLY - EARLY_LEAST) * (load > 0 ? Math.min(1, load) : 0);
+  }
+
+  /** A number that all nodes have for a server, for an order that no one has to agree on. */
+  public static int number(String server) {
+    int hash = server.hashCode() * 0x9E3779B1;
+    return hash ^ (hash >>> 15);
+  }
 }
--- a/src/main/java/ashspar/limits/Limits.java
+++ b/src/main/java/ashspar/limits/Limits.java
@@ -39,6 +39,9 @@
   public final Lives lives = new Lives();
   public final LoadEstimate estimate = new LoadEstimate();
   public final NoRoom noRoom = new NoRoom();
+  public final Worths worths = new Worths(shares, estimate);
+  public final Patience patience = new Patience();
+  public final ProbeBudget probes = new ProbeBudget();
   public final RetryBudget retries;
   private final List<ServerLimits> ready = new ArrayList<>();
   private final FleetLimit fleet = new FleetLimit();
@@ -54,12 +57,26 @@
   private int together;
   private long countedAt = Long.MIN_VALUE / 2;
 
+  private WarmUp warmUp;
+
   /** The limits of a node that starts now. */
   public Limits(long now) {
     retries = new RetryBudget(now);
     pace = new StartPace(now);
   }
 
+  /** New settings: of how many nodes, and what a request over its tenant's share is worth. */
+  public void configure(int ofNodes, double overShareWorth, WarmUp warming) {
+    shares.configure(ofNodes, overShareWorth);
+    worths.configure(overShareWorth);
+    warmUp = warming;
+  }
+
+  /** How servers warm up, by the settings. */
+  public WarmUp warmUp() {
+    return warmUp;
+  }
+
   /** Limits for a server that is heard of; it counts from {@link #ready} on. */
   public ServerLimits join(String id) {
     return new ServerLimits(id, outliers, noRoom, elsewhere);
--- a/src/main/java/ashspar/limits/Lives.java
+++ b/src/main/java/ashspar/limits/Lives.java
@@ -33,4 +33,22 @@
   public double mean() {
     return (stood + PRIOR * USUAL) / (Math.max(0, ended) + PRIOR);
   }
+
+  /** The inverse load counts by the power 1 for connections that live so long, and by more then. */
+  private static final double POWER_LIFE = 20_000_000.0;
+
+  private static final double POWER_MOST = 2.5;
+
+  /** Arrivals of less than this tell no rate. */
+  private static final double LEAST_TIME = 5_000_000.0;
+
+  /**
+   * The power of the inverse load in a weight: connections that live long show a wrong weight late.
+   *
+   * @param since microseconds in which the arrivals came
+   */
+  public static double power(double arrivals, long since, int open) {
+    double rate = (arrivals + 1) / Math.max(LEAST_TIME, since);
+    return Math.min(POWER_MOST, Math.max(1, open / rate / POWER_LIFE));
+  }
 }
--- a/src/main/java/ashspar/limits/WaitingRoom.java
+++ b/src/main/java/ashspar/limits/WaitingRoom.java
@@ -25,6 +25,9 @@
  * @param <T> what waits
  */
 public final class WaitingRoom<T> {
+  /** Before one who was turned away may come back, at least. */
+  private static final long LEAST_HOLD = 100_000;
+
   /** One in so many goes by its waiting time instead of its worth. */
   public static final int AGED = 8;
 
@@ -251,6 +254,11 @@
     return shares.over(tenant) ? worth * shares.overWorth() : worth;
   }
 
+  /** After how long one who is turned away may come back, {@code most} at most. */
+  public long comeBack(String tenant, double worth, long now, long most) {
+    return Math.min(Math.max(LEAST_HOLD, wait(tenant, worth, now)), most);
+  }
+
   /**
    * How long a request of this kind that comes now would wait, in microseconds: what goes before
    * it, over the rate at which the room has emptied lately. Zero where nothing is known: a forecast
