Lab tests: what is planted is planted anew where a play was void

Cause: a play that was late is void and is played once more, but the watcher's steps were counted in the test, so that the second play began at the last step and planted nothing.

Change: what is done to a play is made anew for each play.

--- a/src/test/java/brassbank/lab/LabIT.java
+++ b/src/test/java/brassbank/lab/LabIT.java
@@ -19,6 +19,7 @@
 import java.nio.file.StandardOpenOption;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -35,6 +36,7 @@
   private static final Path SCRIPTS = Path.of("src/test/resources/lab");
   private static final Path ROOT = Path.of("").toAbsolutePath();
   private static final Lab.Watcher NOBODY = (lab, now) -> {};
+  private static final Supplier<Hand> NONE = Nothing::new;
 
   /** All of the lab's, and of the fleet's own one; the others of these take minutes. */
   static Stream<Path> scripts() throws IOException {
@@ -46,12 +48,20 @@
     }
   }
 
+  /** What is done to one play: what is planted is planted anew where a play was void. */
+  private interface Hand extends Tamper, Lab.Watcher {}
+
+  private static final class Nothing implements Hand {
+    @Override
+    public void at(Lab lab, long now) {}
+  }
+
   /** Plays it, and once more where the lab was late; a second time says nothing of the rules. */
-  private static Lab.Outcome played(Path script, Tamper tamper, Lab.Watcher watcher)
-      throws Exception {
+  private static Lab.Outcome played(Path script, Supplier<Hand> hands) throws Exception {
     for (int play = 1; ; play++) {
-      try (Lab lab = new Lab(Script.read(script), ROOT, null, tamper)) {
-        Lab.Outcome outcome = lab.play(watcher);
+      Hand hand = hands.get();
+      try (Lab lab = new Lab(Script.read(script), ROOT, null, hand)) {
+        Lab.Outcome outcome = lab.play(hand);
         if (!outcome.tooLate() || play == 2) {
           assertThat(outcome.tooLate())
               .as("void, twice: %d us late at %d", outcome.late(), outcome.lateAt())
@@ -65,7 +75,7 @@
   @ParameterizedTest
   @MethodSource("scripts")
   void holdsAllRules(Path script) throws Exception {
-    Lab.Outcome outcome = played(script, Tamper.NONE, NOBODY);
+    Lab.Outcome outcome = played(script, NONE);
     assertThat(outcome.breaches()).as("log: %s", List.copyOf(outcome.breachLog())).isEmpty();
     assertThat(outcome.tallies().values()).allMatch(count -> count.served > 0);
     assertThat(outcome.uses().values())
@@ -73,10 +83,34 @@
   }
 
   /** Links that ask thirty times for once, give ids to others, lead astray, and keep the dead. */
-  private static final class Misbehaving implements Tamper {
+  private static final class Misbehaving implements Hand {
     private static final Pattern ID = Pattern.compile("OPEN (\\S+) ");
     private String first;
     private Machine newest;
+    private int done;
+
+    @Override
+    public void at(Lab lab, long now) {
+      World world = lab.scene().world();
+      RealProxy proxy = lab.proxies().get("n0");
+      if (done == 0 && now > 2_000_000) {
+        done = 1;
+        storm(world, proxy.machine());
+        StreamHost host = world.hosts().get("s-1");
+        host.kill();
+        host.start(false);
+        world.discovery().learn(host, "SERVING", 0);
+        log(proxy, "2026-01-01T00:00:00.000Z error test: planted\n");
+      } else if (done == 1 && now > 3_000_000) {
+        done = 2;
+        newest = world.hosts().get("s-1").machine();
+      } else if (done == 2 && now > 9_000_000) {
+        done = 3;
+        // It cannot hear what it is told, and is still there when its time is over.
+        lab.proxies().get("n2").pause(5_000_000);
+        lab.proxies().get("n2").restart();
+      }
+    }
 
     @Override
     public byte[] said(byte[] bytes) {
@@ -127,33 +161,8 @@
 
   @Test
   void catchesEachBreachThatIsPlanted() throws Exception {
-    Misbehaving links = new Misbehaving();
-    int[] done = {0};
     Lab.Outcome outcome =
-        played(
-            Path.of("src/test/resources/lab-planted/busy.toml"),
-            links,
-            (lab, now) -> {
-              World world = lab.scene().world();
-              RealProxy proxy = lab.proxies().get("n0");
-              if (done[0] == 0 && now > 2_000_000) {
-                done[0] = 1;
-                storm(world, proxy.machine());
-                StreamHost host = world.hosts().get("s-1");
-                host.kill();
-                host.start(false);
-                world.discovery().learn(host, "SERVING", 0);
-                log(proxy, "2026-01-01T00:00:00.000Z error test: planted\n");
-              } else if (done[0] == 1 && now > 3_000_000) {
-                done[0] = 2;
-                links.newest = world.hosts().get("s-1").machine();
-              } else if (done[0] == 2 && now > 9_000_000) {
-                done[0] = 3;
-                // It cannot hear what it is told, and is still there when its time is over.
-                lab.proxies().get("n2").pause(5_000_000);
-                lab.proxies().get("n2").restart();
-              }
-            });
+        played(Path.of("src/test/resources/lab-planted/busy.toml"), Misbehaving::new);
     assertThat(
             outcome.counts().entrySet().stream()
                 .filter(entry -> entry.getValue() > 0)
@@ -170,28 +179,32 @@
             "no task of the proxy fails");
   }
 
+  /** One whom nobody hears, and one who says everything sixty times. */
+  private static final class DeafAndLoud implements Hand {
+    private long now;
+
+    @Override
+    public void at(Lab lab, long now) {
+      this.now = now;
+    }
+
+    @Override
+    public int copies(String proxy) {
+      return proxy.equals("n1") && now > 12_000_000
+          ? 0
+          : proxy.equals("n3") && now > 3_000_000 ? 60 : 1;
+    }
+
+    @Override
+    public boolean keepsClientsOf(String proxy) {
+      return true;
+    }
+  }
+
   @Test
   void catchesEachBreachOfMembershipThatIsPlanted() throws Exception {
-    long[] now = {0};
-    Tamper links =
-        new Tamper() {
-          @Override
-          public int copies(String proxy) {
-            return proxy.equals("n1") && now[0] > 12_000_000
-                ? 0
-                : proxy.equals("n3") && now[0] > 3_000_000 ? 60 : 1;
-          }
-
-          @Override
-          public boolean keepsClientsOf(String proxy) {
-            return true;
-          }
-        };
     Lab.Outcome outcome =
-        played(
-            Path.of("src/test/resources/lab-planted/members.toml"),
-            links,
-            (lab, at) -> now[0] = at);
+        played(Path.of("src/test/resources/lab-planted/members.toml"), DeafAndLoud::new);
     assertThat(
             outcome.counts().entrySet().stream()
                 .filter(entry -> entry.getValue() > 0)
