Facade: the decider in parts: ledger, alarms, target group, delays, predecessors

It holds the facade, the life of a flow and the departure now, in 607; what it kept beside them has one class each.

Ruled out: parting the life of a flow from the facade, since each of its steps is a call of the facade's; and a part for the departure, which is the lifecycle's plan and three short methods here.

--- a/src/main/java/brassbank/decide/Decider.java
+++ b/src/main/java/brassbank/decide/Decider.java
@@ -14,11 +14,7 @@
 import brassbank.log.Log;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
-import java.util.PriorityQueue;
 
 /**
  * The facade in front of the decision module, in blocking style: each call returns what is to be
@@ -41,92 +37,19 @@
   /** Pause before an open connection's own target is tried again after it could not be reached. */
   private static final long REJOIN_PAUSE = 300 * MILLI;
 
-  /** Least time between two notes to the module on one target's delay. */
-  private static final long DELAY_NOTE_PAUSE = SECOND;
-
-  private enum Stage {
-    HELD,
-    OUT,
-    UP
-  }
-
-  /** The ledger's line for a flow that has no final answer or whose connection stands. */
-  private static final class Entry {
-    final Flow flow;
-    final Balancer.Request request;
-    final long deadline;
-
-    /** The settings that it came under, which hold for it to its end. */
-    final Balancer.Settings settings;
-
-    Stage stage = Stage.HELD;
-    int forwards;
-    Target target;
-    long sentAt;
-    long askedAt;
-
-    /** As the target told it last. */
-    double load = Double.NaN;
-
-    /** An alarm looks after the question that is open, or one before it. */
-    boolean watched;
-
-    Entry(Flow flow, Balancer.Request request, long deadline, Balancer.Settings settings) {
-      this.flow = flow;
-      this.request = request;
-      this.deadline = deadline;
-      this.settings = settings;
-    }
-
-    /** The module's number of the last forward; a resumed connection is 0, however often tried. */
-    int attempt() {
-      return flow.at() != null ? 0 : forwards - 1;
-    }
-  }
-
-  private enum AlarmKind {
-    MODULE,
-    FORWARD_DUE,
-    ANSWER_DUE,
-    UNANSWERED,
-    REJOIN,
-    LEAVE
-  }
-
-  /** A time to look at something again; {@code subject} is a token, or a flow's id. */
-  private record Alarm(long due, long order, AlarmKind kind, long subject, int forward) {}
-
   /** An outcome that the module is still to be told. */
   private record Owed(Entry entry, Ending ending, boolean closed) {}
 
-  private static final class Delay {
-    long notedAt = Long.MIN_VALUE / 2;
-    boolean slow;
-  }
-
   private Balancer.Settings settings;
   private final FlowClock clock;
   private final Balancer module;
-  private final Map<Long, Entry> ledger = new LinkedHashMap<>();
-  private final Map<String, Target> group = new HashMap<>();
-
-  /** The same as discovery told it. */
-  private final Map<String, TargetList.Entry> targets = new LinkedHashMap<>();
-
-  /** What each predecessor of this process holds, by its flows' ids. */
-  private final Map<Long, Map<Long, Standing>> shadows = new HashMap<>();
-
-  private final Map<String, Delay> delays = new HashMap<>();
-  private final PriorityQueue<Alarm> alarms =
-      new PriorityQueue<>(
-          (a, b) ->
-              a.due() != b.due()
-                  ? Long.compare(a.due(), b.due())
-                  : Long.compare(a.order(), b.order()));
-  private double slowMillis;
+  private final Ledger ledger = new Ledger();
+  private final TargetGroup group;
+  private final Predecessors predecessors;
+  private final Delays delays = new Delays();
+  private final Alarms alarms = new Alarms();
   private final ArrayDeque<Owed> owed = new ArrayDeque<>();
   private List<Decision> out = new ArrayList<>();
-  private long alarmCount;
   private long now;
   private final Lifecycle lifecycle = new Lifecycle();
   private boolean listed;
@@ -134,21 +57,17 @@
   /** Starts the module with the list that this proxy last had. */
   public Decider(Balancer.Settings settings, long seed, TargetList known, FlowClock clock) {
     this.clock = clock;
+    this.group = new TargetGroup(clock);
     this.now = clock.now();
     this.module = new Policy(now, settings, seed, new Collector());
+    this.predecessors = new Predecessors(module);
     settings(settings);
     list(known, Balancer.ListKind.CACHED);
   }
 
   private void settings(Balancer.Settings changed) {
     settings = changed;
-    double shortest = Double.MAX_VALUE;
-    for (Balancer.RequestClass type : settings.classes()) {
-      if (type.messageAim() > 0) {
-        shortest = Math.min(shortest, type.messageAim());
-      }
-    }
-    slowMillis = shortest == Double.MAX_VALUE ? Double.MAX_VALUE : shortest / 3 / MILLI;
+    delays.configure(changed);
   }
 
   // ------------------------------------------------------------- the facade
@@ -156,7 +75,7 @@
   /** A flow has come in; what is decided on it comes back, a {@code Hold} if nothing is yet. */
   public List<Decision> pick(Flow flow) {
     now = clock.now();
-    Balancer.require(!ledger.containsKey(flow.id()), "flow " + flow.id() + " is known");
+    Balancer.require(ledger.get(flow.id()) == null, "flow " + flow.id() + " is known");
     if (lifecycle.refuses(now)) {
       return List.of(new Decision.FixedResponse(flow.id(), retryMillis()));
     }
@@ -176,14 +95,14 @@
             false,
             flow.returning());
     Entry entry = new Entry(flow, request, now + request.left(), settings);
-    ledger.put(flow.id(), entry);
-    alarm(entry.deadline + settings.rules().answerSlack(), AlarmKind.ANSWER_DUE, flow.id(), 0);
+    ledger.enter(entry);
+    alarms.set(entry.deadline + settings.rules().answerSlack(), Alarms.Kind.ANSWER_DUE, flow.id());
     if (flow.at() != null) {
       rejoin(entry);
     } else {
       module.request(now, request);
     }
-    if (ledger.get(flow.id()) == entry && entry.stage == Stage.HELD) {
+    if (ledger.get(flow.id()) == entry && entry.stage == Entry.Stage.HELD) {
       out.add(new Decision.Hold(flow.id()));
     }
     return decided();
@@ -195,15 +114,15 @@
     if (happening instanceof Happening.Up up) {
       up(up.flow());
     } else if (happening instanceof Happening.Load load) {
-      Entry entry = standing(load.flow());
+      Entry entry = ledger.standing(load.flow());
       if (entry != null) {
         entry.load = load.load();
         note(entry, Balancer.NoteKind.LOAD, load.load());
       }
     } else if (happening instanceof Happening.Asked asked) {
-      asked(standing(asked.flow()));
+      asked(ledger.standing(asked.flow()));
     } else if (happening instanceof Happening.Answered answered) {
-      answered(standing(answered.flow()));
+      answered(ledger.standing(answered.flow()));
     } else if (happening instanceof Happening.Ended ended) {
       ended(ended);
     } else if (happening instanceof Happening.ClientLeft left) {
@@ -230,7 +149,7 @@
         // Its list is newer than the one that this process was started with.
         list(new TargetList(0, true, predecessor.targets()), Balancer.ListKind.CACHED);
       }
-      elsewhere(predecessor.process(), predecessor.standing());
+      predecessors.holds(now, settings, predecessor.process(), predecessor.standing());
     } else if (happening instanceof Happening.Succeeded succeeded) {
       lifecycle.succeeded(succeeded.yes());
     } else if (happening instanceof Happening.Serving) {
@@ -242,15 +161,15 @@
   /** Does what is due at {@code at}, a time of the facade's clock. */
   public List<Decision> tick(long at) {
     now = Math.max(now, at);
-    while (!alarms.isEmpty() && alarms.peek().due() <= now) {
-      ring(alarms.poll());
+    for (Alarms.Alarm due = alarms.due(now); due != null; due = alarms.due(now)) {
+      ring(due);
     }
     return decided();
   }
 
   /** When {@link #tick} is next due, or Long.MAX_VALUE. */
   public long nextTick() {
-    return alarms.isEmpty() ? Long.MAX_VALUE : alarms.peek().due();
+    return alarms.next();
   }
 
   /** Flows without a final answer, and standing connections. */
@@ -305,17 +224,12 @@
 
   // ------------------------------------------------------------ life of a flow
 
-  private Entry standing(Long flow) {
-    Entry entry = ledger.get(flow);
-    return entry != null && entry.stage == Stage.UP ? entry : null;
-  }
-
   private void up(long flow) {
     Entry entry = ledger.get(flow);
-    if (entry == null || entry.stage != Stage.OUT) {
+    if (entry == null || entry.stage != Entry.Stage.OUT) {
       return;
     }
-    entry.stage = Stage.UP;
+    entry.stage = Entry.Stage.UP;
     if (entry.flow.at() != null) {
       module.resumed(now, entry.request, entry.target.name());
     } else {
@@ -325,14 +239,14 @@
 
   private void ended(Happening.Ended ended) {
     Entry entry = ledger.get(ended.flow());
-    if (entry == null || entry.stage == Stage.HELD) {
+    if (entry == null || entry.stage == Entry.Stage.HELD) {
       return;
     }
-    if (entry.stage == Stage.UP) {
+    if (entry.stage == Entry.Stage.UP) {
       if (ended.ending() == Ending.RESET) {
         LOG.info("connection-broken", flow(entry.flow.id()), target(entry.target.name()));
       }
-      close(entry);
+      ledger.close(entry);
       outcome(entry, ended.ending(), true);
     } else {
       LOG.info(
@@ -340,7 +254,7 @@
           flow(entry.flow.id()),
           target(entry.target.name()),
           value("ending", ended.ending()));
-      entry.stage = Stage.HELD;
+      entry.stage = Entry.Stage.HELD;
       outcome(entry, ended.ending(), false);
     }
   }
@@ -350,15 +264,15 @@
     if (entry == null) {
       return;
     }
-    close(entry);
-    if (entry.stage == Stage.UP) {
+    ledger.close(entry);
+    if (entry.stage == Entry.Stage.UP) {
       outcome(entry, Ending.CANCELLED, true);
       return;
     }
     if (entry.flow.at() == null) {
       module.lapsed(now, flow);
     }
-    if (entry.stage == Stage.OUT) {
+    if (entry.stage == Entry.Stage.OUT) {
       out.add(new Decision.Cancel(flow));
       outcome(entry, Ending.CANCELLED, true);
     }
@@ -366,7 +280,7 @@
 
   /** The one place where a forward's outcome reaches the module. */
   private void outcome(Entry entry, Ending ending, boolean closed) {
-    if (entry.flow.at() != null && entry.stage != Stage.UP) {
+    if (entry.flow.at() != null && entry.stage != Entry.Stage.UP) {
       if (!closed) {
         retryRejoin(entry, ending);
       }
@@ -384,17 +298,12 @@
             List.of()));
   }
 
-  /** The one place where a flow leaves the ledger. */
-  private void close(Entry entry) {
-    ledger.remove(entry.flow.id());
-  }
-
   private void forward(Entry entry, Target target, long until) {
-    entry.stage = Stage.OUT;
+    entry.stage = Entry.Stage.OUT;
     entry.forwards++;
     entry.target = target;
     entry.sentAt = now;
-    alarm(until, AlarmKind.FORWARD_DUE, entry.flow.id(), entry.forwards);
+    alarms.set(until, Alarms.Kind.FORWARD_DUE, entry.flow.id(), entry.forwards);
     out.add(new Decision.Forward(entry.flow.id(), target, until));
   }
 
@@ -406,7 +315,7 @@
     if (target != null) {
       forward(entry, target, entry.deadline);
     } else {
-      alarm(now + REJOIN_PAUSE, AlarmKind.REJOIN, entry.flow.id(), 0);
+      alarms.set(now + REJOIN_PAUSE, Alarms.Kind.REJOIN, entry.flow.id());
     }
   }
 
@@ -416,9 +325,9 @@
             && now + REJOIN_PAUSE < entry.deadline
             && entry.forwards < entry.settings.limits().maxAttempts();
     if (again) {
-      alarm(now + REJOIN_PAUSE, AlarmKind.REJOIN, entry.flow.id(), 0);
+      alarms.set(now + REJOIN_PAUSE, Alarms.Kind.REJOIN, entry.flow.id());
     } else {
-      close(entry);
+      ledger.close(entry);
       out.add(
           ending.status.neverRan
               ? new Decision.FixedResponse(entry.flow.id(), 0)
@@ -434,7 +343,7 @@
       if (!entry.watched) {
         // One for each connection and not for each line: thousands a second would pile up here.
         entry.watched = true;
-        alarm(now + UNANSWERED_LIMIT, AlarmKind.UNANSWERED, entry.flow.id(), 0);
+        alarms.set(now + UNANSWERED_LIMIT, Alarms.Kind.UNANSWERED, entry.flow.id());
       }
     }
   }
@@ -445,11 +354,7 @@
     }
     double millis = (now - entry.askedAt) / (double) MILLI;
     entry.askedAt = 0;
-    Delay delay = delays.computeIfAbsent(entry.target.name(), name -> new Delay());
-    boolean slow = millis > slowMillis;
-    if (slow ? now - delay.notedAt >= DELAY_NOTE_PAUSE : delay.slow) {
-      delay.notedAt = now;
-      delay.slow = slow;
+    if (delays.tells(now, entry.target.name(), millis)) {
       note(entry, Balancer.NoteKind.DELAY, millis);
     }
   }
@@ -460,16 +365,12 @@
 
   // ------------------------------------------------------------------- alarms
 
-  private void alarm(long due, AlarmKind kind, long subject, int forward) {
-    alarms.add(new Alarm(due, alarmCount++, kind, subject, forward));
-  }
-
-  private void ring(Alarm alarm) {
-    if (alarm.kind() == AlarmKind.MODULE) {
+  private void ring(Alarms.Alarm alarm) {
+    if (alarm.kind() == Alarms.Kind.MODULE) {
       module.timer(now, alarm.subject());
       return;
     }
-    if (alarm.kind() == AlarmKind.LEAVE) {
+    if (alarm.kind() == Alarms.Kind.LEAVE) {
       if (alarm.subject() == lifecycle.number()) {
         step();
       }
@@ -481,36 +382,36 @@
     }
     switch (alarm.kind()) {
       case FORWARD_DUE -> {
-        if (entry.stage == Stage.OUT && entry.forwards == alarm.forward()) {
+        if (entry.stage == Entry.Stage.OUT && entry.forwards == alarm.forward()) {
           LOG.info("forward-unanswered", flow(entry.flow.id()), target(entry.target.name()));
-          entry.stage = Stage.HELD;
+          entry.stage = Entry.Stage.HELD;
           out.add(new Decision.Cancel(entry.flow.id()));
           outcome(entry, Ending.TIMED_OUT, false);
         }
       }
       case ANSWER_DUE -> {
         // Guards the one rule that no client may break for us: an answer before it gives up.
-        if (entry.stage != Stage.UP) {
+        if (entry.stage != Entry.Stage.UP) {
           LOG.warn("deadline-passed", flow(entry.flow.id()));
           refuse(entry);
         }
       }
       case UNANSWERED -> {
         entry.watched = false;
-        if (entry.stage == Stage.UP && entry.askedAt > 0) {
+        if (entry.stage == Entry.Stage.UP && entry.askedAt > 0) {
           if (now - entry.askedAt >= UNANSWERED_LIMIT) {
             LOG.info("connection-silent", flow(entry.flow.id()), target(entry.target.name()));
-            close(entry);
+            ledger.close(entry);
             out.add(new Decision.Move(entry.flow.id()));
             outcome(entry, Ending.RESET, true);
           } else {
             entry.watched = true;
-            alarm(entry.askedAt + UNANSWERED_LIMIT, AlarmKind.UNANSWERED, entry.flow.id(), 0);
+            alarms.set(entry.askedAt + UNANSWERED_LIMIT, Alarms.Kind.UNANSWERED, entry.flow.id());
           }
         }
       }
       case REJOIN -> {
-        if (entry.stage == Stage.HELD) {
+        if (entry.stage == Entry.Stage.HELD) {
           rejoin(entry);
         }
       }
@@ -520,11 +421,11 @@
 
   /** Ends a flow that has no answer without the module. */
   private void refuse(Entry entry) {
-    close(entry);
+    ledger.close(entry);
     if (entry.flow.at() == null) {
       module.lapsed(now, entry.flow.id());
     }
-    if (entry.stage == Stage.OUT) {
+    if (entry.stage == Entry.Stage.OUT) {
       out.add(new Decision.Cancel(entry.flow.id()));
       outcome(entry, Ending.CANCELLED, true);
     }
@@ -539,92 +440,19 @@
         : 0;
   }
 
-  // ------------------------------------- connections that a predecessor holds
-
-  /**
-   * Tells the module of the connections that a predecessor holds as if they were this process's
-   * own. Budgets are then not doubled, and the room that a moved client leaves is known before the
-   * next report shows it.
-   */
-  private void elsewhere(long process, List<Standing> standing) {
-    Map<Long, Standing> before = shadows.computeIfAbsent(process, p -> new LinkedHashMap<>());
-    Map<Long, Standing> next = new LinkedHashMap<>();
-    standing.forEach(one -> next.put(one.id(), one));
-    for (Standing gone : before.values()) {
-      if (!next.containsKey(gone.id())) {
-        module.outcome(
-            now,
-            new Balancer.Outcome(
-                shadow(process, gone), 0, gone.target(), Ending.SERVED.status, 0, true, List.of()));
-      }
-    }
-    before.keySet().retainAll(next.keySet());
-    for (Standing one : standing) {
-      // A class that these settings do not know is none that the module could count.
-      if (settings.classes().stream().noneMatch(c -> c.name().equals(one.flowClass()))) {
-        continue;
-      }
-      long id = shadow(process, one);
-      Standing known = before.put(one.id(), one);
-      if (known == null) {
-        module.resumed(
-            now,
-            new Balancer.Request(
-                id,
-                one.key(),
-                one.group(),
-                one.flowClass(),
-                one.tenant(),
-                0,
-                one.hint(),
-                false,
-                true,
-                false),
-            one.target());
-      }
-      if (one.load() >= 0 && (known == null || known.load() != one.load())) {
-        module.note(now, id, 0, one.target(), Balancer.NoteKind.LOAD, one.load());
-      }
-    }
-    if (before.isEmpty()) {
-      shadows.remove(process);
-    }
-  }
-
-  /** An id that no flow of this process's own has. */
-  private static long shadow(long process, Standing one) {
-    return (process << 40) + one.id();
-  }
-
   /** The target group as discovery told it. */
   public List<TargetList.Entry> targets() {
-    return List.copyOf(targets.values());
+    return group.told();
   }
 
   /** How many connections of predecessors the module is told of. */
   int counted() {
-    return shadows.values().stream().mapToInt(Map::size).sum();
+    return predecessors.counted();
   }
 
   /** The connections that stand here. */
   public List<Standing> standing() {
-    List<Standing> standing = new ArrayList<>();
-    for (Entry entry : ledger.values()) {
-      if (entry.stage == Stage.UP) {
-        Flow flow = entry.flow;
-        standing.add(
-            new Standing(
-                flow.id(),
-                flow.key(),
-                flow.flowClass(),
-                flow.tenant(),
-                flow.group(),
-                flow.hint(),
-                entry.target.name(),
-                entry.load));
-      }
-    }
-    return standing;
+    return ledger.standing();
   }
 
   // ---------------------------------------------------------------- departure
@@ -638,7 +466,7 @@
           value("flows", ledger.size()),
           value("from_ms", departure.untilFirst(now, ledger.size()) / MILLI),
           value("to_ms", departure.untilEnd(now) / MILLI));
-      alarm(now, AlarmKind.LEAVE, lifecycle.number(), 0);
+      alarms.set(now, Alarms.Kind.LEAVE, lifecycle.number());
     }
   }
 
@@ -648,26 +476,24 @@
    * still be answered until the end.
    */
   private void step() {
-    List<Entry> going = new ArrayList<>(ledger.size());
-    ledger.values().stream().filter(e -> e.stage == Stage.HELD).forEach(going::add);
-    ledger.values().stream().filter(e -> e.stage == Stage.UP).forEach(going::add);
+    List<Entry> going = ledger.toSendAway();
     Departure.Step step = lifecycle.step(now, going.size(), ledger.size());
     if (step == null) {
       return;
     }
     going.stream().limit(step.count()).forEach(this::sendAway);
     if (lifecycle.refuses(now)) {
-      List.copyOf(ledger.values()).forEach(this::sendAway);
+      ledger.all().forEach(this::sendAway);
     }
     if (lifecycle.departure() == null) {
       LOG.info("drained");
     } else {
-      alarm(step.next(), AlarmKind.LEAVE, lifecycle.number(), 0);
+      alarms.set(step.next(), Alarms.Kind.LEAVE, lifecycle.number());
     }
   }
 
   private void sendAway(Entry entry) {
-    if (entry.stage == Stage.UP) {
+    if (entry.stage == Entry.Stage.UP) {
       moveAway(entry);
     } else {
       refuse(entry);
@@ -675,7 +501,7 @@
   }
 
   private void moveAway(Entry entry) {
-    close(entry);
+    ledger.close(entry);
     out.add(new Decision.Move(entry.flow.id()));
     owed.add(new Owed(entry, Ending.CANCELLED, true));
   }
@@ -683,44 +509,7 @@
   // ------------------------------------------------------------- target group
 
   private void list(TargetList list, Balancer.ListKind kind) {
-    if (kind != Balancer.ListKind.DELTA) {
-      group.clear();
-      targets.clear();
-    }
-    List<Balancer.ServerEntry> entries = new ArrayList<>(list.entries().size());
-    for (TargetList.Entry entry : list.entries()) {
-      Balancer.State state =
-          switch (entry.status()) {
-            case SERVING -> Balancer.State.READY;
-            case DRAINING -> Balancer.State.DRAINING;
-            case DELETED -> Balancer.State.GONE;
-          };
-      if (kind == Balancer.ListKind.DELTA) {
-        LOG.info(
-            "target-changed",
-            target(entry.name()),
-            value("status", entry.status()),
-            value("since_ms", entry.sinceMillis()));
-      }
-      if (state == Balancer.State.GONE) {
-        group.remove(entry.name());
-        targets.remove(entry.name());
-        delays.remove(entry.name());
-      } else {
-        group.put(entry.name(), new Target(entry.name(), entry.address()));
-        targets.put(entry.name(), entry);
-      }
-      entries.add(
-          new Balancer.ServerEntry(
-              entry.name(),
-              entry.zone(),
-              entry.type(),
-              entry.group(),
-              state,
-              entry.weight(),
-              clock.ofUnixMillis(entry.sinceMillis())));
-    }
-    module.servers(now, kind, entries);
+    module.servers(now, kind, group.take(list, kind, delays::forget));
   }
 
   /** Turns the module's actions into decisions, against the ledger. */
@@ -729,7 +518,7 @@
     public void send(long id, String server, long abandonAt) {
       Entry entry = ledger.get(id);
       Target target = group.get(server);
-      if (entry == null || entry.stage != Stage.HELD || target == null) {
+      if (entry == null || entry.stage != Entry.Stage.HELD || target == null) {
         throw new IllegalStateException("no forward of flow " + id + " to " + server + " may go");
       }
       forward(entry, target, abandonAt > 0 ? Math.min(abandonAt, entry.deadline) : entry.deadline);
@@ -752,11 +541,11 @@
 
     private boolean answer(long id) {
       Entry entry = ledger.get(id);
-      if (entry == null || entry.stage == Stage.UP) {
+      if (entry == null || entry.stage == Entry.Stage.UP) {
         return false;
       }
-      close(entry);
-      if (entry.stage == Stage.OUT) {
+      ledger.close(entry);
+      if (entry.stage == Entry.Stage.OUT) {
         out.add(new Decision.Cancel(id));
         owed.add(new Owed(entry, Ending.CANCELLED, true));
       }
@@ -766,8 +555,8 @@
     @Override
     public void cancel(long id, int attempt) {
       Entry entry = ledger.get(id);
-      if (entry != null && entry.stage == Stage.OUT && entry.forwards == attempt + 1) {
-        entry.stage = Stage.HELD;
+      if (entry != null && entry.stage == Entry.Stage.OUT && entry.forwards == attempt + 1) {
+        entry.stage = Entry.Stage.HELD;
         out.add(new Decision.Cancel(id));
         owed.add(new Owed(entry, Ending.CANCELLED, false));
       }
@@ -775,7 +564,7 @@
 
     @Override
     public void move(long id) {
-      Entry entry = standing(id);
+      Entry entry = ledger.standing(id);
       if (entry != null) {
         LOG.info("connection-moved", flow(id), target(entry.target.name()));
         moveAway(entry);
@@ -784,7 +573,7 @@
 
     @Override
     public void timer(long delay, long token) {
-      alarm(now + delay, AlarmKind.MODULE, token, 0);
+      alarms.set(now + delay, Alarms.Kind.MODULE, token);
     }
 
     @Override
--- /dev/null
+++ b/src/main/java/brassbank/decide/Entry.java
@@ -0,0 +1,59 @@
+package brassbank.decide;
+
+import ashspar.Balancer;
+
+/** The ledger's line for a flow that has no final answer or whose connection stands. */
+final class Entry {
+  /** Where a flow is on its way; it goes from held to out and back, until it is up. */
+  enum Stage {
+    HELD,
+    OUT,
+    UP
+  }
+
+  final Flow flow;
+  final Balancer.Request request;
+
+  /** When its client gives up, in microseconds of the facade's clock, as all times here. */
+  final long deadline;
+
+  /** The settings that it came under, which hold for it to its end. */
+  final Balancer.Settings settings;
+
+  Stage stage = Stage.HELD;
+  int forwards;
+  Target target;
+  long sentAt;
+  long askedAt;
+
+  /** As the target told it last. */
+  double load = Double.NaN;
+
+  /** An alarm looks after the question that is open, or one before it. */
+  boolean watched;
+
+  Entry(Flow flow, Balancer.Request request, long deadline, Balancer.Settings settings) {
+    this.flow = flow;
+    this.request = request;
+    this.deadline = deadline;
+    this.settings = settings;
+  }
+
+  /** The module's number of the last forward; a resumed connection is 0, however often tried. */
+  int attempt() {
+    return flow.at() != null ? 0 : forwards - 1;
+  }
+
+  /** What another process of the same proxy must know of a connection that stands. */
+  Standing asStanding() {
+    return new Standing(
+        flow.id(),
+        flow.key(),
+        flow.flowClass(),
+        flow.tenant(),
+        flow.group(),
+        flow.hint(),
+        target.name(),
+        load);
+  }
+}
--- /dev/null
+++ b/src/main/java/brassbank/decide/Predecessors.java
@@ -0,0 +1,79 @@
+package brassbank.decide;
+
+import ashspar.Balancer;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The connections that earlier generations of this proxy's process still hold. The module is told
+ * of them as if they were this process's own: budgets are then not doubled, and the room that a
+ * moved client leaves is known before the next report shows it. For one thread at a time.
+ */
+final class Predecessors {
+  private final Balancer module;
+
+  /** What each of them holds, by its flows' ids. */
+  private final Map<Long, Map<Long, Standing>> shadows = new HashMap<>();
+
+  Predecessors(Balancer module) {
+    this.module = module;
+  }
+
+  /** What the process holds from now on; nothing, where it has ended. */
+  void holds(long now, Balancer.Settings settings, long process, List<Standing> standing) {
+    Map<Long, Standing> before = shadows.computeIfAbsent(process, p -> new LinkedHashMap<>());
+    Map<Long, Standing> next = new LinkedHashMap<>();
+    standing.forEach(one -> next.put(one.id(), one));
+    for (Standing gone : before.values()) {
+      if (!next.containsKey(gone.id())) {
+        module.outcome(
+            now,
+            new Balancer.Outcome(
+                shadow(process, gone), 0, gone.target(), Ending.SERVED.status, 0, true, List.of()));
+      }
+    }
+    before.keySet().retainAll(next.keySet());
+    for (Standing one : standing) {
+      // A class that these settings do not know is none that the module could count.
+      if (settings.classes().stream().noneMatch(c -> c.name().equals(one.flowClass()))) {
+        continue;
+      }
+      long id = shadow(process, one);
+      Standing known = before.put(one.id(), one);
+      if (known == null) {
+        module.resumed(
+            now,
+            new Balancer.Request(
+                id,
+                one.key(),
+                one.group(),
+                one.flowClass(),
+                one.tenant(),
+                0,
+                one.hint(),
+                false,
+                true,
+                false),
+            one.target());
+      }
+      if (one.load() >= 0 && (known == null || known.load() != one.load())) {
+        module.note(now, id, 0, one.target(), Balancer.NoteKind.LOAD, one.load());
+      }
+    }
+    if (before.isEmpty()) {
+      shadows.remove(process);
+    }
+  }
+
+  /** An id that no flow of this process's own has. */
+  private static long shadow(long process, Standing one) {
+    return (process << 40) + one.id();
+  }
+
+  /** How many connections the module is told of. */
+  int counted() {
+    return shadows.values().stream().mapToInt(Map::size).sum();
+  }
+}
