Shares: seats by leases from a majority of ranks, as values, under a search in bad weather

Fleets of 1 to 17 processes on ways that lose, delay, double and cut, with stops of up to 6 s, deaths, restarts and drains: what all may spend is looked at each millisecond and is never above the budget (20 seeds of 60 s each). A newcomer that spends at once, a seat that is forgotten too soon, and one held for no longer than an answer counts are found. A calm fleet uses all of its budget.

--- a/src/main/java/brassbank/membership/wire/RefusedException.java
+++ b/src/main/java/brassbank/membership/wire/RefusedException.java
@@ -6,7 +6,7 @@
 
   private final Refused why;
 
-  RefusedException(Refused why, String what) {
+  public RefusedException(Refused why, String what) {
     // Whoever sends rubbish must not make the receiver walk through its stack.
     super(what, null, false, false);
     this.why = why;
--- /dev/null
+++ b/src/main/java/brassbank/shares/SeatOutbox.java
@@ -0,0 +1,8 @@
+package brassbank.shares;
+
+import java.net.InetSocketAddress;
+
+/** Where what is said of seats goes; it may be lost. */
+public interface SeatOutbox {
+  void send(InetSocketAddress to, SeatMessage message);
+}
--- /dev/null
+++ b/src/main/java/brassbank/shares/SeatSettings.java
@@ -0,0 +1,31 @@
+package brassbank.shares;
+
+/**
+ * The figures of the rule; docs/shares.md has the reason of each. Times are microseconds.
+ *
+ * @param base part of each budget that goes by the file's numbers, whoever is there; 0 to 1
+ * @param period a seat is asked for this often
+ * @param counts an answer counts for so long from when it was asked for (V)
+ * @param holds a keeper holds a seat for so long from the asking's arrival (H)
+ * @param waits a seat is spent with once it was held for so long without a gap (W)
+ */
+public record SeatSettings(double base, long period, long counts, long holds, long waits) {
+  private static final long MILLI = 1_000;
+
+  /** The base where the file says nothing: what it costs and brings stands in docs/shares.md. */
+  public static final double USUAL_BASE = 0.5;
+
+  public SeatSettings {
+    if (!(base >= 0 && base <= 1)) {
+      throw new IllegalArgumentException("a base is from 0 to 1, not " + base);
+    }
+    if (period <= 0 || counts < period || holds <= 0 || waits < 0) {
+      throw new IllegalArgumentException("times that cannot be");
+    }
+  }
+
+  /** The usual times. */
+  public static SeatSettings of(double base) {
+    return new SeatSettings(base, 300 * MILLI, 1_200 * MILLI, 2_600 * MILLI, 1_400 * MILLI);
+  }
+}
--- /dev/null
+++ b/src/main/java/brassbank/shares/Seats.java
@@ -0,0 +1,179 @@
+package brassbank.shares;
+
+import brassbank.shares.SeatMessage.Kind;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.BitSet;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * One process among those that share the fleet's budgets: it asks for its own seat and, where its
+ * rank is a keeper's, holds the others'. It is told the time with each call, in microseconds of a
+ * steady clock that goes on while the process is stopped, by one thread.
+ */
+public final class Seats {
+  /** Ranks below this are keepers: a larger fleet does not make more messages of each. */
+  static final int MOST_KEEPERS = 15;
+
+  /** Askings whose answers may still count, and some more. */
+  private static final int REMEMBERED = 64;
+
+  private record Asked(int sequence, long at) {}
+
+  private final SeatSettings settings;
+  private final int rank;
+  private final int of;
+  private final long process;
+  private final Keeper keeper;
+  private final Seat seat;
+  private final Deque<Asked> asked = new ArrayDeque<>();
+
+  /** What each address said of its rank; those that are no keepers need not be asked. */
+  private final Map<InetSocketAddress, Integer> ranks = new HashMap<>();
+
+  private long nextAsk;
+  private int sequence;
+  private boolean wanted;
+  private long refused;
+  private long taken;
+
+  /**
+   * @param rank below {@code of}, and no other live process's
+   * @param of how many ranks there are, the same in all files; 1 to {@link SeatMessage#MOST_RANKS}
+   * @param process by chance, new with each start
+   */
+  public Seats(SeatSettings settings, int rank, int of, long process, long now) {
+    if (of < 1 || of > SeatMessage.MOST_RANKS || rank < 0 || rank >= of) {
+      throw new IllegalArgumentException("rank " + rank + " of " + of);
+    }
+    this.settings = settings;
+    this.rank = rank;
+    this.of = of;
+    this.process = process;
+    keeper = new Keeper(settings.holds(), now);
+    seat = new Seat(settings, Math.min(of, MOST_KEEPERS));
+    nextAsk = now;
+  }
+
+  /**
+   * Asks again where that is due.
+   *
+   * @param wants whether this process takes clients, so that it spends
+   * @param others where the others of the fleet are
+   */
+  public void beat(long now, boolean wants, List<InetSocketAddress> others, SeatOutbox out) {
+    if (wanted && !wants) {
+      giveBack(now, others, out);
+    }
+    wanted = wants;
+    if (!wants || now < nextAsk) {
+      return;
+    }
+    nextAsk = now + settings.period();
+    sequence = sequence == Integer.MAX_VALUE ? 1 : sequence + 1;
+    asked.addLast(new Asked(sequence, now));
+    if (asked.size() > REMEMBERED) {
+      asked.removeFirst();
+    }
+    ranks.keySet().retainAll(others);
+    SeatMessage ask = message(Kind.ASK, sequence, new BitSet());
+    for (InetSocketAddress other : others) {
+      if (ranks.getOrDefault(other, 0) < MOST_KEEPERS) {
+        out.send(other, ask);
+      }
+    }
+    if (rank < MOST_KEEPERS && keeper.speaks(now) && keeper.hold(now, rank, process)) {
+      seat.held(now, rank, process, now, keeper.seats(now));
+    }
+  }
+
+  private SeatMessage message(Kind kind, int sequence, BitSet seats) {
+    return new SeatMessage(kind, process, rank, of, sequence, seats);
+  }
+
+  /** What is given back is not spent with any more: first the one, then the other. */
+  private void giveBack(long now, List<InetSocketAddress> others, SeatOutbox out) {
+    seat.drop();
+    asked.clear();
+    keeper.giveBack(rank, process);
+    SeatMessage message = message(Kind.GIVE_BACK, 0, new BitSet());
+    others.forEach(other -> out.send(other, message));
+  }
+
+  /** The process ends, or another of its rank goes on in its place. */
+  public void close(long now, List<InetSocketAddress> others, SeatOutbox out) {
+    if (wanted) {
+      wanted = false;
+      giveBack(now, others, out);
+    }
+  }
+
+  /** Something has come from an address. */
+  public void receive(long now, InetSocketAddress from, SeatMessage message, SeatOutbox out) {
+    if (message.of() != of || message.process() == process) {
+      refused++;
+      return;
+    }
+    ranks.put(from, message.rank());
+    switch (message.kind()) {
+      case ASK -> asked(now, from, message, out);
+      case GIVE_BACK -> keeper.giveBack(message.rank(), message.process());
+      case HELD -> {
+        Asked mine = asked(message.sequence());
+        if (mine != null && message.rank() < MOST_KEEPERS && message.seats().get(rank)) {
+          seat.held(now, message.rank(), message.process(), mine.at(), message.seats());
+        }
+      }
+      case TAKEN -> taken++;
+      default -> throw new IllegalStateException("no such kind: " + message.kind());
+    }
+  }
+
+  private void asked(long now, InetSocketAddress from, SeatMessage message, SeatOutbox out) {
+    if (rank >= MOST_KEEPERS) {
+      // It learns from this that it need not ask here again.
+      out.send(from, message(Kind.TAKEN, message.sequence(), new BitSet()));
+    } else if (keeper.speaks(now)) {
+      boolean held = keeper.hold(now, message.rank(), message.process());
+      out.send(
+          from,
+          held
+              ? message(Kind.HELD, message.sequence(), keeper.seats(now))
+              : message(Kind.TAKEN, message.sequence(), new BitSet()));
+    }
+  }
+
+  private Asked asked(int sequence) {
+    for (Asked one : asked) {
+      if (one.sequence() == sequence) {
+        return one;
+      }
+    }
+    return null;
+  }
+
+  /** What this process may spend of each budget now. */
+  public Part part(long now) {
+    double base = settings.base() / of;
+    if (!wanted || !seat.spends(now)) {
+      return new Part(base, base, rank, of, Long.MIN_VALUE);
+    }
+    BitSet counted = seat.counted(now);
+    int seats = counted.cardinality();
+    int turn = counted.get(0, rank).cardinality();
+    return new Part(base + (1 - settings.base()) / seats, base, turn, seats, seat.heldUntil());
+  }
+
+  /** Messages that came from a fleet of another size. */
+  public long refused() {
+    return refused;
+  }
+
+  /** How often this rank's seat was another process's. */
+  public long taken() {
+    return taken;
+  }
+}
--- /dev/null
+++ b/src/main/java/brassbank/shares/wire/SeatCodec.java
@@ -0,0 +1,99 @@
+package brassbank.shares.wire;
+
+import brassbank.membership.wire.Refused;
+import brassbank.membership.wire.RefusedException;
+import brassbank.shares.SeatMessage;
+import java.nio.BufferUnderflowException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.BitSet;
+import java.util.zip.CRC32C;
+
+/**
+ * Writes and reads what one fleet says of seats. Big-endian: mark {@code B5A8}, version, kind; the
+ * fleet's name (FNV-1a, 8 bytes); process 8; rank 2; ranks 2; sequence 4; length 1 and bytes of the
+ * seats' bits, at most 32; CRC-32C of all before. Any thread may use one codec.
+ */
+public final class SeatCodec {
+  private static final short MARK = (short) 0xB5A8;
+  private static final byte VERSION = 1;
+  private static final int CHECKSUM = 4;
+  private static final int FIXED = 4 + 8 + 8 + 2 + 2 + 4 + 1;
+  private static final int MOST_SEATS = SeatMessage.MOST_RANKS / 8;
+  private static final SeatMessage.Kind[] KINDS = SeatMessage.Kind.values();
+
+  private final long fleet;
+
+  public SeatCodec(String fleet) {
+    long hash = 0xcbf29ce484222325L;
+    for (byte b : fleet.getBytes(StandardCharsets.UTF_8)) {
+      hash = (hash ^ (b & 0xff)) * 0x100000001b3L;
+    }
+    this.fleet = hash;
+  }
+
+  /** Whether a datagram is meant to be one of these. */
+  public static boolean marked(byte[] bytes) {
+    return bytes.length >= 2 && ByteBuffer.wrap(bytes).getShort() == MARK;
+  }
+
+  public byte[] write(SeatMessage message) {
+    byte[] seats = message.seats().toByteArray();
+    ByteBuffer to = ByteBuffer.allocate(FIXED + seats.length + CHECKSUM);
+    to.putShort(MARK).put(VERSION).put((byte) message.kind().ordinal()).putLong(fleet);
+    to.putLong(message.process()).putShort((short) message.rank()).putShort((short) message.of());
+    to.putInt(message.sequence()).put((byte) seats.length).put(seats);
+    to.putInt(checksum(to.array(), to.position()));
+    return to.array();
+  }
+
+  private static int checksum(byte[] bytes, int length) {
+    CRC32C sum = new CRC32C();
+    sum.update(bytes, 0, length);
+    return (int) sum.getValue();
+  }
+
+  /** The message in a datagram that is {@link #marked}, all of whose fields are within bounds. */
+  public SeatMessage read(byte[] bytes) throws RefusedException {
+    int end = bytes.length - CHECKSUM;
+    ByteBuffer from = ByteBuffer.wrap(bytes);
+    if (end < FIXED || end > FIXED + MOST_SEATS || from.getShort() != MARK) {
+      throw new RefusedException(Refused.FOREIGN, bytes.length + " bytes that are no message");
+    }
+    if (from.getInt(end) != checksum(bytes, end)) {
+      throw new RefusedException(Refused.DAMAGED, "cut off or damaged");
+    }
+    byte version = from.get();
+    if (version != VERSION) {
+      throw new RefusedException(Refused.VERSION, "version " + version);
+    }
+    from.limit(end);
+    try {
+      int kind = from.get();
+      if (kind < 0 || kind >= KINDS.length) {
+        throw malformed("kind " + kind);
+      }
+      if (from.getLong() != fleet) {
+        throw new RefusedException(Refused.FLEET, "another fleet's");
+      }
+      long process = from.getLong();
+      int rank = from.getShort();
+      int of = from.getShort();
+      int sequence = from.getInt();
+      byte[] seats = new byte[Math.max(0, from.get())];
+      from.get(seats);
+      if (from.hasRemaining()) {
+        throw malformed(from.remaining() + " bytes after its end");
+      }
+      return new SeatMessage(KINDS[kind], process, rank, of, sequence, BitSet.valueOf(seats));
+    } catch (BufferUnderflowException e) {
+      throw malformed("ends before its end");
+    } catch (IllegalArgumentException e) {
+      throw malformed(e.getMessage());
+    }
+  }
+
+  private static RefusedException malformed(String what) {
+    return new RefusedException(Refused.MALFORMED, what);
+  }
+}
--- /dev/null
+++ b/src/test/java/brassbank/shares/SeatsTest.java
@@ -0,0 +1,308 @@
+package brassbank.shares;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
+
+import brassbank.shares.wire.SeatCodec;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.function.UnaryOperator;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Fleets of processes in bad weather: what all of them may spend together, at each millisecond. */
+class SeatsTest {
+  private static final long MILLI = 1_000;
+  private static final long SECOND = 1_000_000;
+  private static final SeatSettings USUAL = SeatSettings.of(0.25);
+
+  private record Datagram(long at, int from, int to, byte[] bytes) {}
+
+  /** A fleet on a network that loses, delays, doubles and cuts, whose processes stop and die. */
+  private static final class Weather {
+    private final SplittableRandom random;
+    private final SeatSettings settings;
+    private final SeatCodec codec = new SeatCodec("leith");
+    private final List<InetSocketAddress> addresses = new ArrayList<>();
+    private final PriorityQueue<Datagram> way =
+        new PriorityQueue<>(Comparator.comparingLong(Datagram::at));
+    private final Seats[] processes;
+    private final Part[] parts;
+    private final long[] away;
+    private final boolean[] dead;
+    private final boolean[] wants;
+    private final long[][] cutUntil;
+    private long now = 7 * SECOND;
+    private double most;
+    private boolean calm;
+    private int stops;
+
+    Weather(long seed, int fleet, SeatSettings settings) throws Exception {
+      random = new SplittableRandom(seed);
+      this.settings = settings;
+      processes = new Seats[fleet];
+      parts = new Part[fleet];
+      away = new long[fleet];
+      dead = new boolean[fleet];
+      wants = new boolean[fleet];
+      cutUntil = new long[fleet][fleet];
+      for (int i = 0; i < fleet; i++) {
+        addresses.add(
+            new InetSocketAddress(
+                InetAddress.getByAddress(new byte[] {10, 0, 0, (byte) (i + 1)}), 7070));
+        start(i);
+      }
+    }
+
+    private void start(int i) {
+      processes[i] = new Seats(settings, i, processes.length, random.nextLong(), now);
+      parts[i] = null;
+      dead[i] = false;
+      wants[i] = true;
+    }
+
+    private List<InetSocketAddress> others(int i) {
+      List<InetSocketAddress> others = new ArrayList<>(addresses);
+      others.remove(i);
+      return others;
+    }
+
+    private SeatOutbox from(int i) {
+      return (to, message) -> {
+        int other = addresses.indexOf(to);
+        for (int copies = calm || random.nextInt(20) > 0 ? 1 : 2; copies > 0; copies--) {
+          long late = calm ? MILLI : (long) (400 * MILLI * Math.pow(random.nextDouble(), 3));
+          if (cutUntil[i][other] <= now && (calm || random.nextInt(10) > 0)) {
+            way.add(new Datagram(now + late, i, other, codec.write(message)));
+          }
+        }
+      };
+    }
+
+    /** One millisecond goes by. */
+    void step() throws Exception {
+      now += MILLI;
+      if (!calm) {
+        fault();
+      }
+      while (!way.isEmpty() && way.peek().at() <= now) {
+        Datagram one = way.remove();
+        if (dead[one.to()]) {
+          continue;
+        }
+        if (away[one.to()] > now) {
+          // Its kernel keeps it.
+          way.add(new Datagram(away[one.to()], one.from(), one.to(), one.bytes()));
+          continue;
+        }
+        processes[one.to()].receive(
+            now, addresses.get(one.from()), codec.read(one.bytes()), from(one.to()));
+        parts[one.to()] = processes[one.to()].part(now);
+      }
+      double sum = 0;
+      for (int i = 0; i < processes.length; i++) {
+        if (dead[i] || away[i] > now) {
+          continue;
+        }
+        // One that goes on places before it hears or looks at anything but its clock.
+        Part part = parts[i];
+        sum += part == null ? 0 : now < part.until() || !part.seated() ? part.part() : part.base();
+        if ((now / MILLI + i * 37) % 100 == 0) {
+          processes[i].beat(now, wants[i], others(i), from(i));
+          parts[i] = processes[i].part(now);
+        }
+      }
+      most = Math.max(most, sum);
+    }
+
+    private void fault() {
+      int i = random.nextInt(processes.length);
+      int j = random.nextInt(processes.length);
+      int what = random.nextInt(4_000);
+      if (what < 3) {
+        away[i] = now + random.nextLong(6 * SECOND);
+        stops++;
+      } else if (what < 4) {
+        dead[i] = true;
+      } else if (what < 14 && dead[i]) {
+        start(i);
+      } else if (what < 17) {
+        wants[i] = !wants[i];
+      } else if (what < 25 && i != j) {
+        cutUntil[i][j] = now + random.nextLong(6 * SECOND);
+      } else if (what == 3_999) {
+        long until = now + random.nextLong(8 * SECOND);
+        for (int a = 0; a < processes.length; a++) {
+          for (int b = 0; b < processes.length; b++) {
+            if (a % 2 != b % 2) {
+              cutUntil[a][b] = until;
+            }
+          }
+        }
+      }
+    }
+
+    double used() {
+      double sum = 0;
+      for (int i = 0; i < processes.length; i++) {
+        sum += dead[i] || parts[i] == null ? 0 : parts[i].part();
+      }
+      return sum;
+    }
+
+    void calm(long micros) throws Exception {
+      calm = true;
+      for (long[] row : cutUntil) {
+        java.util.Arrays.fill(row, 0);
+      }
+      for (long until = now + micros; now < until; ) {
+        step();
+      }
+    }
+  }
+
+  private static double worst(int seeds, int fleet, UnaryOperator<SeatSettings> planted)
+      throws Exception {
+    double most = 0;
+    for (int seed = 1; seed <= seeds; seed++) {
+      Weather weather = new Weather(seed, fleet, planted.apply(USUAL));
+      while (weather.now < 67 * SECOND) {
+        weather.step();
+      }
+      assertThat(weather.stops).isPositive();
+      most = Math.max(most, weather.most);
+    }
+    return most;
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {1, 2, 3, 5, 9, 17})
+  void allTogetherSpendNoMoreThanTheBudgetInAnyWeather(int fleet) throws Exception {
+    assertThat(worst(20, fleet, usual -> usual)).isLessThanOrEqualTo(1 + 1e-9);
+  }
+
+  @Test
+  void aSeatThatIsForgottenBeforeItsNextAskingIsFound() throws Exception {
+    double most =
+        worst(
+            60,
+            3,
+            usual ->
+                new SeatSettings(
+                    usual.base(), usual.period(), usual.counts(), 100 * MILLI, usual.waits()));
+    assertThat(most).isGreaterThan(1.01);
+  }
+
+  /**
+   * Three keepers. The first process loses the second keeper and finds the third in time; the other
+   * has asked the third just before, and asks the second just after.
+   *
+   * @return whether the other counts the first, while both spend
+   */
+  private static boolean countsOneThatWanders(long holds) {
+    SeatSettings settings =
+        new SeatSettings(USUAL.base(), USUAL.period(), USUAL.counts(), holds, USUAL.waits());
+    Keeper[] keepers = new Keeper[3];
+    for (int k = 0; k < 3; k++) {
+      keepers[k] = new Keeper(holds, -10 * SECOND);
+    }
+    Seat first = new Seat(settings, 3);
+    Seat other = new Seat(settings, 3);
+    for (long at = 0; at <= 4_400; at += 50) {
+      if (at % 300 == 0) {
+        ask(first, 0, 0, keepers, at);
+      }
+      if (at % 300 == 0 && at <= 3_000) {
+        ask(first, 0, 1, keepers, at);
+      }
+      if (at == 4_100) {
+        ask(first, 0, 2, keepers, at);
+      }
+      if (at % 300 == 150) {
+        ask(other, 1, 1, keepers, at);
+      }
+      if (at % 300 == 150 && at <= 4_050) {
+        ask(other, 1, 2, keepers, at);
+      }
+    }
+    assertThat(first.spends(4_400 * MILLI)).isTrue();
+    assertThat(other.spends(4_400 * MILLI)).isTrue();
+    return other.counted(4_400 * MILLI).get(0);
+  }
+
+  private static void ask(Seat seat, int rank, int keeper, Keeper[] keepers, long millis) {
+    long now = millis * MILLI;
+    assertThat(keepers[keeper].hold(now, rank, rank)).isTrue();
+    seat.held(now, keeper, keeper, now, keepers[keeper].seats(now));
+  }
+
+  @Test
+  void aSeatMustBeHeldForLongerThanTwoAnswersCount() {
+    assertThat(countsOneThatWanders(USUAL.counts())).isFalse();
+    assertThat(countsOneThatWanders(USUAL.holds())).isTrue();
+  }
+
+  @Test
+  void aNewcomerThatSpendsAtOnceIsFound() throws Exception {
+    double most =
+        worst(
+            40,
+            3,
+            usual ->
+                new SeatSettings(usual.base(), usual.period(), usual.counts(), usual.holds(), 0));
+    assertThat(most).isGreaterThan(1.01);
+  }
+
+  @Test
+  void aCalmFleetUsesAllOfItsBudgetAndADeadOnesPartIsBackWithinFiveSeconds() throws Exception {
+    Weather weather = new Weather(1, 14, USUAL);
+    weather.calm(10 * SECOND);
+    assertThat(weather.used()).isCloseTo(1, within(1e-9));
+    weather.dead[3] = true;
+    weather.dead[4] = true;
+    weather.calm(5 * SECOND);
+    // What is left unused is the base of those who are not there.
+    assertThat(weather.used()).isCloseTo(1 - 2 * USUAL.base() / 14, within(1e-9));
+    weather.start(3);
+    weather.start(4);
+    weather.calm(5 * SECOND);
+    assertThat(weather.used()).isCloseTo(1, within(1e-9));
+  }
+
+  @Test
+  void whoLeavesGivesItsSeatBackAtOnce() throws Exception {
+    Weather weather = new Weather(1, 5, USUAL);
+    weather.calm(10 * SECOND);
+    weather.wants[2] = false;
+    weather.calm(SECOND / 2);
+    assertThat(weather.parts[0].of()).isEqualTo(4);
+    assertThat(weather.parts[2].seated()).isFalse();
+  }
+
+  @Test
+  void whoIsCutOffFallsBackToTheBaseWithinAnAnswersTime() throws Exception {
+    Weather weather = new Weather(1, 7, USUAL);
+    weather.calm(10 * SECOND);
+    weather.calm = true;
+    for (int a = 0; a < 7; a++) {
+      for (int b = 0; b < 7; b++) {
+        weather.cutUntil[a][b] = a < 3 == b < 3 ? 0 : Long.MAX_VALUE;
+      }
+    }
+    for (int i = 0; i < 1_400; i++) {
+      weather.step();
+    }
+    assertThat(weather.parts[0].part()).isCloseTo(0.25 / 7, within(1e-9));
+    for (int i = 0; i < 2_600; i++) {
+      weather.step();
+    }
+    assertThat(weather.parts[6].part()).isCloseTo(0.25 / 7 + 0.75 / 4, within(1e-9));
+    assertThat(weather.most).isLessThanOrEqualTo(1 + 1e-9);
+  }
+}
