Shares on the loop: seats beside membership's datagrams, parts for cold hosts' places and quotas

The smallest way through: [shares] base in a file with [membership] switches it on; what may be spent goes to the module as a value with an end, so that a process that was stopped falls back by its own clock.

--- a/src/main/java/ashspar/Admission.java
+++ b/src/main/java/ashspar/Admission.java
@@ -14,6 +14,7 @@
 
   private final Node node;
   private final List<Server> cold = new ArrayList<>();
+  private boolean lapsed = true; // the part that goes beyond the base
 
   Admission(Node node) {
     this.node = node;
@@ -51,12 +52,50 @@
 
   /** A server has started, perhaps just now. */
   void started(Server s) {
-    s.coldShare = new ColdShare(node.settings.rank() + Groups.number(s.id), node.settings.nodes());
+    s.coldShare = coldShare(Groups.number(s.id));
     if (warmth(s) < 1 && !cold.contains(s)) {
       cold.add(s);
     }
   }
 
+  private ColdShare coldShare(int number) {
+    Balancer.Share share = node.share;
+    if (share == null) {
+      return new ColdShare(node.settings.rank() + number, node.settings.nodes());
+    }
+    int of = share.of();
+    return new ColdShare(
+        Math.floorMod(share.turn() + number, of) * node.spacing() / of, node.spacing());
+  }
+
+  /** This node's part has changed, and perhaps the one before has ended meanwhile. */
+  void share(Balancer.Share next) {
+    lapse();
+    double was = node.spacing();
+    node.share = next;
+    if (node.spacing() != was) {
+      deal(node.now);
+    }
+    lapsed = node.now >= next.until();
+    node.limits.shares.divide(node.spacing());
+  }
+
+  /** A part ends when it was to end, not when that is noticed: a process may have been stopped. */
+  private void lapse() {
+    if (!lapsed && node.share != null && node.now >= node.share.until()) {
+      lapsed = true;
+      deal(node.share.until());
+      node.limits.shares.divide(node.spacing());
+    }
+  }
+
+  private void deal(long at) {
+    for (Server s : cold) {
+      double age = Math.max(0, at - s.since) / (double) Node.SECOND;
+      s.coldShare.deal(warming(s), age, node.spacing());
+    }
+  }
+
   /** The share of its capacity that a server surely has, by the slowest warm-up stated. */
   double warmth(Server s) {
     return s.since > 0 ? node.limits.warmUp().warmth(age(s)) : 1;
@@ -64,6 +103,7 @@
 
   /** A place is this node's for as long as the window over which the server falls. */
   boolean coldAllows(Server s) {
+    lapse();
     return warmth(s) >= 1 || s.coldShare.free(warming(s), age(s), node.limits.warmUp().window());
   }
 
--- a/src/main/java/ashspar/Balancer.java
+++ b/src/main/java/ashspar/Balancer.java
@@ -47,6 +47,9 @@
   /** The settings have changed; the zone, the classes' names and how lists come are as before. */
   void settings(long now, Settings settings);
 
+  /** How much of the fleet's budgets this node may spend; until it is told, by the settings. */
+  default void share(long now, Share share) {}
+
   /** What the node holds itself to, as plain values. */
   LimitsSnapshot limits();
 
@@ -238,6 +241,27 @@
     }
   }
 
+  /**
+   * A part of each budget that all nodes spend together.
+   *
+   * @param part of the budget until then, above 0 and at most 1
+   * @param base the part from then on, as much or less
+   * @param turn which of those that share it is, from 0 on, below {@code of}
+   * @param of how many share
+   * @param until on the module's clock
+   */
+  record Share(double part, double base, int turn, int of, long until) {
+    public Share {
+      require(base > 0 && base <= part && part <= 1, "a part is above 0 and at most 1");
+      require(turn >= 0 && turn < of, "a turn is below the number of those that share");
+    }
+
+    /** The part at a moment. */
+    double at(long now) {
+      return now < until ? part : base;
+    }
+  }
+
   /** A class of requests. */
   record RequestClass(
       String name,
--- a/src/main/java/ashspar/Policy.java
+++ b/src/main/java/ashspar/Policy.java
@@ -362,8 +362,16 @@
   }
 
   private void measure() {
-    int nodes = node.settings.nodes();
-    node.limits.measure(node.now, node.weights.meanLoad(), node.openConnections, nodes);
+    double mean = node.weights.meanLoad();
+    node.limits.measure(node.now, mean, node.openConnections, node.nodes());
+  }
+
+  @Override
+  public void share(long at, Share share) {
+    node.now = at;
+    Balancer.require(share != null, "a share must be given");
+    node.admission.share(share);
+    release();
   }
 
   @Override
--- a/src/main/java/ashspar/limits/ColdShare.java
+++ b/src/main/java/ashspar/limits/ColdShare.java
@@ -13,9 +13,12 @@
  * <p>Ages and times are seconds. Calls cost constant time. For one thread at a time.
  */
 public final class ColdShare {
-  private final int first;
-  private final int nodes;
-  private long taken = -1;
+  /** A place of this node's from before its share changed, or below zero. */
+  private double before = -1;
+
+  private double first;
+  private double spacing;
+  private double taken = -1;
   private double owed;
 
   /**
@@ -24,8 +27,33 @@
    * @param nodes how many nodes there are, at least one
    */
   public ColdShare(int turn, int nodes) {
-    this.nodes = Math.max(1, nodes);
-    first = Math.floorMod(turn, this.nodes);
+    this((double) Math.floorMod(turn, Math.max(1, nodes)), Math.max(1, nodes));
+  }
+
+  /**
+   * @param first number of this node's first place, at least 0
+   * @param spacing from one of its places to the next: the inverse of its share, at least 1
+   */
+  public ColdShare(double first, double spacing) {
+    if (!(first >= 0 && spacing >= 1)) {
+      throw new IllegalArgumentException("no share: " + first + ", " + spacing);
+    }
+    this.first = first;
+    this.spacing = spacing;
+  }
+
+  /**
+   * This node's share changes. What has been earned towards its next place is kept and no more:
+   * over any number of changes it has its share of the places that come up, and one more.
+   *
+   * @param age the server's when the share changed, which may be before now
+   */
+  public void deal(Warming warming, double age, double nextSpacing) {
+    double up = up(warming, age);
+    before = last(up);
+    double next = before < first ? first : before + spacing;
+    first = up + (next - up) / spacing * nextSpacing;
+    spacing = nextSpacing;
   }
 
   /**
@@ -35,24 +63,28 @@
    * @param valid for how long a place holds
    */
   public boolean free(Warming warming, double age, double valid) {
-    long last = last(warming, age);
+    double last = last(up(warming, age));
     return last > taken && age - warming.reached(last + 1.0) <= valid;
   }
 
   /** Takes the place; what a connection costs beyond a mean one is paid with places to come. */
   public void take(Warming warming, double age, double cost) {
-    taken = Math.max(taken, last(warming, age));
+    taken = Math.max(taken, last(up(warming, age)));
     owed += Math.max(0, cost - 1);
     while (owed >= 1) {
       owed--;
-      taken += nodes;
+      taken += spacing;
     }
   }
 
+  /** The last place that has come up, whoever's it is. */
+  private static double up(Warming warming, double age) {
+    return Math.floor(warming.places(age)) - 1;
+  }
+
   /** The last of this node's places that has come up; below zero where none has. */
-  private long last(Warming warming, double age) {
-    long up = (long) Math.floor(warming.places(age)) - 1;
-    return up < first ? -1 : up - (up - first) % nodes;
+  private double last(double up) {
+    return up < first ? before : first + Math.floor((up - first) / spacing) * spacing;
   }
 
   /**
--- a/src/main/java/ashspar/limits/Limits.java
+++ b/src/main/java/ashspar/limits/Limits.java
@@ -65,8 +65,11 @@
     pace = new StartPace(now);
   }
 
-  /** New settings: of how many nodes, and what a request over its tenant's share is worth. */
-  public void configure(int ofNodes, double overShareWorth, WarmUp warming) {
+  /**
+   * New settings: the inverse of this node's part of the fleet's budgets, and what a request over
+   * its tenant's share is worth.
+   */
+  public void configure(double ofNodes, double overShareWorth, WarmUp warming) {
     shares.configure(ofNodes, overShareWorth);
     worths.configure(overShareWorth);
     warmUp = warming;
--- a/src/main/java/ashspar/limits/TenantShares.java
+++ b/src/main/java/ashspar/limits/TenantShares.java
@@ -24,16 +24,25 @@
   }
 
   private final Map<String, Tenant> tenants = new HashMap<>();
-  private int nodes = 1;
+  private double nodes = 1;
   private double overWorth = 1;
 
-  /** Forgets the shares, not the connections: new ones follow through {@link #tenant}. */
-  public void configure(int nodeCount, double worthOverShare) {
+  /**
+   * Forgets the shares, not the connections: new ones follow through {@link #tenant}.
+   *
+   * @param nodeCount how many nodes share, or the inverse of this one's part
+   */
+  public void configure(double nodeCount, double worthOverShare) {
     nodes = nodeCount;
     overWorth = worthOverShare;
     tenants.values().forEach(t -> t.connections = 0);
   }
 
+  /** This node's part of what tenants may hold has changed, to the inverse of this. */
+  public void divide(double nodeCount) {
+    nodes = nodeCount;
+  }
+
   /**
    * A tenant's share of the service, and what that is in connections of all nodes; 0: not known.
    */
--- a/src/main/java/brassbank/config/file/Keys.java
+++ b/src/main/java/brassbank/config/file/Keys.java
@@ -142,6 +142,22 @@
           "For how long the dead and those that left are remembered, and asked whether they are"
               + " back.");
 
+  static {
+    table(
+        "shares",
+        "Budgets of the fleet divided by who is there, off where the table is not there; it needs"
+            + " [membership]. docs/shares.md says what it costs and brings.");
+  }
+
+  static final Key<Double> BASE =
+      key(
+          "shares.base",
+          Kind.part(),
+          null,
+          "The part of each budget that goes by the numbers of the platform's file, whoever is"
+              + " there; the rest is shared by who is. With 1.0 all goes by the file. It must be"
+              + " the same in all files of a fleet.");
+
   /** The keys that both sides of a session have. */
   static final class Side {
     final Key<Long> waiting;
--- a/src/main/java/brassbank/config/file/Kind.java
+++ b/src/main/java/brassbank/config/file/Kind.java
@@ -100,6 +100,32 @@
     };
   }
 
+  /** A part of a whole. */
+  static Kind<Double> part() {
+    return new Kind<>(0.0, 1.0) {
+      @Override
+      String form() {
+        return "a number from 0.0 to 1.0";
+      }
+
+      @Override
+      Double taken(Object toml) {
+        if (toml instanceof Long whole) {
+          return whole.doubleValue();
+        }
+        if (!(toml instanceof Double part) || part.isNaN()) {
+          throw new IllegalArgumentException();
+        }
+        return part;
+      }
+
+      @Override
+      String written(Double value) {
+        return value.toString();
+      }
+    };
+  }
+
   /** One address with its port; no name is looked up. */
   static Kind<Addresses> address() {
     return addresses(
--- a/src/main/java/brassbank/config/file/Options.java
+++ b/src/main/java/brassbank/config/file/Options.java
@@ -25,12 +25,17 @@
   private static Joining joining(Values values, Problems problems) {
     String fleet = values.get(Keys.FLEET);
     int line = values.line(Keys.LISTEN, Keys.ADVERTISE, Keys.SEEDS, Keys.SUSPICION, Keys.FORGET);
+    if (fleet == null && values.get(Keys.BASE) != null) {
+      problems.problem(
+          values.line(Keys.BASE), "shares needs [membership]: who is there tells that");
+    }
     if (fleet == null) {
       if (line > 0) {
         problems.problem(line, "membership.fleet is missing, without which there is no membership");
       }
       return null;
     }
+    Double base = values.get(Keys.BASE);
     Addresses listen = values.get(Keys.LISTEN);
     Addresses advertised = values.get(Keys.ADVERTISE);
     if (advertised != null && advertised.one().getAddress().isAnyLocalAddress()) {
@@ -42,7 +47,8 @@
         listen == null ? null : listen.one(),
         advertised == null ? null : advertised.one(),
         values.get(Keys.SEEDS).all(),
-        Settings.USUAL.suspicion(values.get(Keys.SUSPICION)).forget(values.get(Keys.FORGET)));
+        Settings.USUAL.suspicion(values.get(Keys.SUSPICION)).forget(values.get(Keys.FORGET)),
+        base == null ? Double.NaN : base);
   }
 
   private static RelayLimits relay(Values values, Problems problems) {
--- a/src/main/java/brassbank/decide/Decider.java
+++ b/src/main/java/brassbank/decide/Decider.java
@@ -152,6 +152,15 @@
       predecessors.holds(now, settings, predecessor.process(), predecessor.standing());
     } else if (happening instanceof Happening.Succeeded succeeded) {
       lifecycle.succeeded(succeeded.yes());
+    } else if (happening instanceof Happening.Shared shared) {
+      module.share(
+          now,
+          new Balancer.Share(
+              shared.part(),
+              shared.base(),
+              shared.turn(),
+              shared.of(),
+              clock.ofNanos(shared.untilNanos())));
     } else if (happening instanceof Happening.Serving) {
       lifecycle.on(Event.SERVING, now);
     }
--- a/src/main/java/brassbank/decide/FlowClock.java
+++ b/src/main/java/brassbank/decide/FlowClock.java
@@ -48,6 +48,11 @@
     return now;
   }
 
+  /** This clock's time for one of the steady clock's. */
+  long ofNanos(long nanos) {
+    return base + (nanos - startNanos) / 1000;
+  }
+
   private void look(long now) {
     lookedAt = now;
     long distance = clock.unixMillis() * 1000 - now;
--- a/src/main/java/brassbank/decide/Happening.java
+++ b/src/main/java/brassbank/decide/Happening.java
@@ -40,6 +40,14 @@
   /** The operators have changed the settings. */
   record Configured(Balancer.Settings settings) implements Happening {}
 
+  /**
+   * How much of the fleet's budgets this proxy may spend.
+   *
+   * @param part of each, until a time of the steady clock; {@code base} from then on
+   * @param turn which of those that share it is, {@code of} so many
+   */
+  record Shared(double part, double base, int turn, int of, long untilNanos) implements Happening {}
+
   /** The proxy takes connections. */
   record Serving() implements Happening {}
 
--- a/src/main/java/brassbank/fleet/Fleet.java
+++ b/src/main/java/brassbank/fleet/Fleet.java
@@ -15,6 +15,7 @@
 import brassbank.net.Loop;
 import brassbank.net.Net;
 import brassbank.net.Network;
+import brassbank.shares.wire.SeatCodec;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -48,6 +49,10 @@
   private final List<Consumer<Change>> listeners = new ArrayList<>();
   private final Outbox outbox = new Out();
 
+  /** Null where budgets go by the file's numbers. */
+  private final Sharer sharer;
+
+  private Sharing sharing;
   private Network.Datagrams socket;
   private Membership membership;
   private Loop.Timer timer;
@@ -58,6 +63,7 @@
    * @param joining with both addresses
    * @param name unique in the fleet
    * @param activity what this program does, asked on each beat
+   * @param sharer how it shares the fleet's budgets, or null where the file's numbers hold
    */
   public Fleet(
       Net net,
@@ -65,13 +71,15 @@
       String name,
       String zone,
       RandomGenerator chance,
-      Supplier<Activity> activity) {
+      Supplier<Activity> activity,
+      Sharer sharer) {
     this.net = net;
     this.joining = joining;
     this.name = name;
     this.zone = zone;
     this.chance = chance;
     this.activity = activity;
+    this.sharer = sharer;
     codec = new Codec(joining.fleet());
   }
 
@@ -115,6 +123,11 @@
             "");
     membership = new Membership(joining.settings(), self, joining.seeds(), chance, now());
     journal.opened(joining.advertised(), joining.fleet());
+    if (sharer != null) {
+      sharing =
+          new Sharing(
+              sharer, joining.base(), joining.fleet(), chance.nextLong(), now(), this::send);
+    }
     beat();
   }
 
@@ -127,6 +140,10 @@
       timer.cancel();
     }
     if (membership != null) {
+      if (sharing != null) {
+        sharing.close(now(), membership.view());
+        sharing = null;
+      }
       if (goodbye) {
         membership.leave(now(), outbox);
       }
@@ -141,6 +158,9 @@
     long now = now();
     membership.activity(now, activity.get(), outbox);
     membership.beat(now, outbox);
+    if (sharing != null) {
+      sharing.beat(now, activity.get() == Activity.ACTIVE, membership.view());
+    }
     timer = net.loop().after(membership.nextDue() - now(), this::beat);
   }
 
@@ -151,20 +171,27 @@
     traffic.received++;
     traffic.receivedBytes += bytes.length;
     try {
-      membership.receive(now(), from, codec.read(bytes), outbox);
+      if (sharing != null && SeatCodec.marked(bytes)) {
+        sharing.heard(now(), from, bytes);
+      } else {
+        membership.receive(now(), from, codec.read(bytes), outbox);
+      }
     } catch (RefusedException e) {
       traffic.refused.merge(e.why(), 1L, Long::sum);
       journal.refused(now(), e.why(), e.getMessage(), from);
     }
   }
 
+  private void send(InetSocketAddress to, byte[] bytes) {
+    traffic.sent++;
+    traffic.sentBytes += bytes.length;
+    socket.send(to, bytes);
+  }
+
   private final class Out implements Outbox {
     @Override
     public void send(InetSocketAddress to, Message message) {
-      byte[] bytes = codec.write(message);
-      traffic.sent++;
-      traffic.sentBytes += bytes.length;
-      socket.send(to, bytes);
+      Fleet.this.send(to, codec.write(message));
     }
 
     @Override
--- /dev/null
+++ b/src/main/java/brassbank/fleet/Sharer.java
@@ -0,0 +1,13 @@
+package brassbank.fleet;
+
+import brassbank.shares.Part;
+import java.util.function.Consumer;
+
+/**
+ * Who shares the fleet's budgets.
+ *
+ * @param rank its own, below {@code of}
+ * @param of how many ranks there are
+ * @param told hears on the loop's thread of each change of what it may spend
+ */
+public record Sharer(int rank, int of, Consumer<Part> told) {}
--- /dev/null
+++ b/src/main/java/brassbank/fleet/Sharing.java
@@ -0,0 +1,87 @@
+package brassbank.fleet;
+
+import brassbank.membership.Member;
+import brassbank.membership.View;
+import brassbank.membership.wire.RefusedException;
+import brassbank.shares.Part;
+import brassbank.shares.SeatOutbox;
+import brassbank.shares.SeatSettings;
+import brassbank.shares.Seats;
+import brassbank.shares.wire.SeatCodec;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+
+/**
+ * This program among those that share the fleet's budgets. It takes nothing from membership but
+ * addresses. For the loop's thread.
+ */
+final class Sharing {
+  private final Seats seats;
+  private final SeatCodec codec;
+  private final Consumer<Part> told;
+  private final SeatOutbox outbox;
+  private Part last;
+
+  /**
+   * @param process by chance, new with each start
+   * @param send a datagram to an address
+   * @param told hears of each change of what may be spent
+   */
+  Sharing(
+      Sharer sharer,
+      double base,
+      String fleet,
+      long process,
+      long now,
+      BiConsumer<InetSocketAddress, byte[]> send) {
+    seats = new Seats(SeatSettings.of(base), sharer.rank(), sharer.of(), process, now);
+    codec = new SeatCodec(fleet);
+    told = sharer.told();
+    outbox = (to, message) -> send.accept(to, codec.write(message));
+  }
+
+  private static List<InetSocketAddress> others(View view) {
+    List<InetSocketAddress> others = new ArrayList<>();
+    for (Member member : view.live()) {
+      if (!member.name().equals(view.self())) {
+        others.add(member.address());
+      }
+    }
+    return others;
+  }
+
+  void beat(long now, boolean wants, View view) {
+    seats.beat(now, wants && !view.displaced(), others(view), outbox);
+    tell(now);
+  }
+
+  void heard(long now, InetSocketAddress from, byte[] bytes) throws RefusedException {
+    seats.receive(now, from, codec.read(bytes), outbox);
+    tell(now);
+  }
+
+  void close(long now, View view) {
+    seats.close(now, others(view), outbox);
+    tell(now);
+  }
+
+  private void tell(long now) {
+    Part part = seats.part(now);
+    if (!part.equals(last)) {
+      last = part;
+      told.accept(part);
+    }
+  }
+
+  /** What may be spent, as it was told last. */
+  Part part() {
+    return last;
+  }
+
+  Seats seats() {
+    return seats;
+  }
+}
--- a/src/main/java/brassbank/lab/LabCommand.java
+++ b/src/main/java/brassbank/lab/LabCommand.java
@@ -89,6 +89,11 @@
       description = "The proxies keep a view of the fleet, under further rules.")
   private boolean membership;
 
+  @Option(
+      names = "--shares",
+      description = "They share the fleet's budgets by who is there besides.")
+  private boolean shares;
+
   private final PrintStream output = System.out;
   private final PrintStream notes = System.err;
 
@@ -125,7 +130,7 @@
     require(script == null || night == null, "a script has its own faults: no --night with it");
     if (script != null) {
       require(
-          proxies == null && hosts == null && rate == null && !membership,
+          proxies == null && hosts == null && rate == null && !membership && !shares,
           "a script says itself how many proxies, hosts and clients there are, and what they do");
       try {
         Plan read = Script.read(script);
@@ -152,7 +157,7 @@
         large
             ? night.plan(seed, seconds, proxyCount, hostCount, arrivals)
             : Plan.drawn(seed, seconds, proxyCount, hostCount, arrivals).playable();
-    return plan.withMembership(membership);
+    return plan.with(shares ? Plan.View.SHARES : membership ? Plan.View.MEMBERS : Plan.View.NONE);
   }
 
   private static void require(boolean holds, String otherwise) {
--- a/src/main/java/brassbank/lab/RealProxy.java
+++ b/src/main/java/brassbank/lab/RealProxy.java
@@ -1,5 +1,6 @@
 package brassbank.lab;
 
+import brassbank.shares.SeatSettings;
 import brassbank.sim.actor.Instance;
 import brassbank.sim.actor.Site;
 import brassbank.sim.actor.World;
@@ -490,12 +491,16 @@
   // -------------------------------------------------------------- membership
 
   /** Its processes join a fleet, which they look for at these proxies' places. */
-  void joins(List<RealProxy> others) throws IOException {
+  void joins(List<RealProxy> others, boolean shares) throws IOException {
     seeds = List.copyOf(others);
     StringBuilder text = new StringBuilder("[membership]\nfleet = \"lab\"\n");
     text.append("advertise = \"").append(text(common())).append("\"\nseeds = [");
     seeds.forEach(other -> text.append('"').append(text(other.common())).append("\","));
-    Files.writeString(folder().resolve(OWN), text.append("]\n").toString());
+    text.append("]\n");
+    if (shares) {
+      text.append("[shares]\nbase = ").append(SeatSettings.USUAL_BASE).append('\n');
+    }
+    Files.writeString(folder().resolve(OWN), text.toString());
   }
 
   private static String text(InetSocketAddress address) {
--- a/src/main/java/brassbank/membership/Joining.java
+++ b/src/main/java/brassbank/membership/Joining.java
@@ -10,20 +10,43 @@
  * @param listen where datagrams are taken, or null for the address that clients come to
  * @param advertised where the others meet it, or null for the same
  * @param seeds where others may be; all of them may be down, wrong or the program's own
+ * @param base the part of the fleet's budgets that goes by the file's numbers; NaN where all of it
+ *     does, and nothing is shared by who is there
  */
 public record Joining(
     String fleet,
     InetSocketAddress listen,
     InetSocketAddress advertised,
     List<InetSocketAddress> seeds,
-    Settings settings) {
+    Settings settings,
+    double base) {
   public Joining {
     seeds = List.copyOf(seeds);
   }
 
+  /** Without shares. */
+  public Joining(
+      String fleet,
+      InetSocketAddress listen,
+      InetSocketAddress advertised,
+      List<InetSocketAddress> seeds,
+      Settings settings) {
+    this(fleet, listen, advertised, seeds, settings, Double.NaN);
+  }
+
+  /** Whether budgets are shared by who is there. */
+  public boolean shares() {
+    return !Double.isNaN(base);
+  }
+
+  /** The same with another base. */
+  public Joining sharing(double part) {
+    return new Joining(fleet, listen, advertised, seeds, settings, part);
+  }
+
   /** The same for a program whose clients come to this address. */
   public Joining at(InetSocketAddress clients) {
     InetSocketAddress here = listen == null ? clients : listen;
-    return new Joining(fleet, here, advertised == null ? here : advertised, seeds, settings);
+    return new Joining(fleet, here, advertised == null ? here : advertised, seeds, settings, base);
   }
 }
--- a/src/main/java/brassbank/proxy/Member.java
+++ b/src/main/java/brassbank/proxy/Member.java
@@ -2,7 +2,10 @@
 
 import brassbank.config.Config;
 import brassbank.decide.Decider;
+import brassbank.decide.Happening;
 import brassbank.fleet.Fleet;
+import brassbank.fleet.Sharer;
+import brassbank.forward.Dispatcher;
 import brassbank.membership.Activity;
 import brassbank.membership.Joining;
 import brassbank.net.Net;
@@ -10,9 +13,12 @@
 
 /** What makes a proxy a member of its fleet; loaded only where there is one. */
 final class Member {
+  private static final long NANOS_PER_MICRO = 1_000;
+  private static final long LONG_AGO = Long.MIN_VALUE / 2;
+
   private final Fleet fleet;
 
-  Member(Config config, Decider decider, Net net, Joining joining) {
+  Member(Config config, Decider decider, Dispatcher dispatcher, Net net, Joining joining) {
     fleet =
         new Fleet(
             net,
@@ -20,13 +26,28 @@
             config.name(),
             config.settings().zone() == null ? "" : config.settings().zone(),
             new Randomness(config.seed()).part("fleet of " + config.name()),
-            () -> activity(decider));
+            () -> activity(decider),
+            joining.shares() ? sharer(config, dispatcher) : null);
   }
 
   Fleet fleet() {
     return fleet;
   }
 
+  private static Sharer sharer(Config config, Dispatcher dispatcher) {
+    return new Sharer(
+        config.settings().rank(),
+        config.settings().nodes(),
+        part ->
+            dispatcher.report(
+                new Happening.Shared(
+                    part.part(),
+                    part.base(),
+                    part.turn(),
+                    part.of(),
+                    part.seated() ? part.until() * NANOS_PER_MICRO : LONG_AGO)));
+  }
+
   private static Activity activity(Decider decider) {
     return switch (decider.state()) {
       case STARTING -> Activity.STARTING;
--- a/src/main/java/brassbank/proxy/Proxy.java
+++ b/src/main/java/brassbank/proxy/Proxy.java
@@ -116,7 +116,7 @@
             config.known().index(),
             dispatcher,
             new Randomness(config.seed()).part("discovery of " + config.name()));
-    fleet = joining == null ? null : new Member(config, decider, net, joining).fleet();
+    fleet = joining == null ? null : new Member(config, decider, dispatcher, net, joining).fleet();
   }
 
   /**
--- a/src/main/java/brassbank/sim/Fleets.java
+++ b/src/main/java/brassbank/sim/Fleets.java
@@ -2,6 +2,7 @@
 
 import brassbank.membership.Joining;
 import brassbank.membership.Settings;
+import brassbank.shares.SeatSettings;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
@@ -16,7 +17,7 @@
   private Fleets() {}
 
   /** The first proxies' machines are 10.0.0.1 and so on ({@code World.machine}). */
-  static Joining joining() {
+  static Joining joining(boolean shares) {
     List<InetSocketAddress> seeds = new ArrayList<>();
     for (int i = 1; i <= SEEDS; i++) {
       try {
@@ -26,6 +27,7 @@
         throw new IllegalStateException("four bytes are an address", e);
       }
     }
-    return new Joining("simulated", null, null, seeds, Settings.USUAL);
+    Joining joining = new Joining("simulated", null, null, seeds, Settings.USUAL);
+    return shares ? joining.sharing(SeatSettings.USUAL_BASE) : joining;
   }
 }
--- a/src/main/java/brassbank/sim/Run.java
+++ b/src/main/java/brassbank/sim/Run.java
@@ -70,7 +70,7 @@
                     machine,
                     wrapping,
                     upgraded,
-                    plan.membership() ? Fleets.joining() : null));
+                    plan.membership() ? Fleets.joining(plan.shares()) : null));
   }
 
   /** To be called before {@link #go}, by whoever wants to see the events. */
--- a/src/main/java/brassbank/sim/cli/SimulateCommand.java
+++ b/src/main/java/brassbank/sim/cli/SimulateCommand.java
@@ -121,6 +121,11 @@
       description = "The proxies keep a view of the fleet, under further rules.")
   private boolean membership;
 
+  @Option(
+      names = "--shares",
+      description = "They share the fleet's budgets by who is there besides.")
+  private boolean shares;
+
   private final PrintStream output = System.out;
   private final PrintStream notes = System.err;
 
@@ -140,7 +145,8 @@
     require(
         night == null || what.script == null, "--night needs seeds: a script has its own faults");
     require(
-        !membership || what.script == null, "--membership needs seeds: a script says it itself");
+        !(membership || shares) || what.script == null,
+        "--membership and --shares need seeds: a script says it itself");
     require(!json || what.seeds != null, "--json needs --seeds");
     if (what.kinds) {
       return kinds();
@@ -165,7 +171,7 @@
         night == null
             ? Plan.drawn(seed, seconds, proxies, hosts, rate)
             : night.plan(seed, seconds, proxies, hosts, rate);
-    return plan.withMembership(membership);
+    return plan.with(shares ? Plan.View.SHARES : membership ? Plan.View.MEMBERS : Plan.View.NONE);
   }
 
   private Plan script() throws IOException {
--- a/src/main/java/brassbank/sim/fault/Night.java
+++ b/src/main/java/brassbank/sim/fault/Night.java
@@ -66,7 +66,15 @@
     draw(site);
     site.faults.sort(Comparator.comparingLong(Fault::atMillis));
     return new Plan(
-        seed, seconds, proxies, hosts, rate, Plan.USUAL_SOCKETS, site.faults, Numbers.ALL, false);
+        seed,
+        seconds,
+        proxies,
+        hosts,
+        rate,
+        Plan.USUAL_SOCKETS,
+        site.faults,
+        Numbers.ALL,
+        Plan.View.NONE);
   }
 
   /** What a night is drawn on. */
--- a/src/main/java/brassbank/sim/fault/Plan.java
+++ b/src/main/java/brassbank/sim/fault/Plan.java
@@ -23,7 +23,14 @@
     int sockets,
     List<Fault> faults,
     Numbers clients,
-    boolean membership) {
+    View view) {
+
+  /** What the proxies do together: nothing, a view of the fleet, or budgets shared besides. */
+  public enum View {
+    NONE,
+    MEMBERS,
+    SHARES
+  }
 
   /** The usual day. */
   public static final int SECONDS = 60;
@@ -85,7 +92,7 @@
       }
     }
     faults.sort((a, b) -> Long.compare(a.atMillis(), b.atMillis()));
-    return new Plan(seed, seconds, proxies, hosts, rate, sockets, faults, Numbers.ALL, false);
+    return new Plan(seed, seconds, proxies, hosts, rate, sockets, faults, Numbers.ALL, View.NONE);
   }
 
   /** The names that a fault of such a kind may be aimed at; empty where it needs none. */
@@ -122,20 +129,30 @@
   }
 
   public Plan with(List<Fault> left) {
-    return new Plan(seed, seconds, proxies, hosts, rate, sockets, left, clients, membership);
+    return new Plan(seed, seconds, proxies, hosts, rate, sockets, left, clients, view);
   }
 
   /** The same with no more than so many seconds, which ends it early. */
   public Plan until(int shorter) {
-    return new Plan(seed, shorter, proxies, hosts, rate, sockets, faults, clients, membership);
+    return new Plan(seed, shorter, proxies, hosts, rate, sockets, faults, clients, view);
   }
 
   public Plan with(Numbers left) {
-    return new Plan(seed, seconds, proxies, hosts, rate, sockets, faults, left, membership);
+    return new Plan(seed, seconds, proxies, hosts, rate, sockets, faults, left, view);
+  }
+
+  /** Whether the proxies keep a view of the fleet. */
+  public boolean membership() {
+    return view != View.NONE;
+  }
+
+  /** Whether they share the fleet's budgets by who is there. */
+  public boolean shares() {
+    return view == View.SHARES;
   }
 
-  /** The same with proxies that keep a view of the fleet, or without. */
-  public Plan withMembership(boolean on) {
-    return new Plan(seed, seconds, proxies, hosts, rate, sockets, faults, clients, on);
+  /** The same with proxies that do this together. */
+  public Plan with(View together) {
+    return new Plan(seed, seconds, proxies, hosts, rate, sockets, faults, clients, together);
   }
 }
--- a/src/main/java/brassbank/sim/fault/Script.java
+++ b/src/main/java/brassbank/sim/fault/Script.java
@@ -67,6 +67,7 @@
             "sockets",
             "clients",
             "membership",
+            "shares",
             "fault"));
     int proxies = (int) whole(toml, "proxies", Plan.PROXIES, 1, MOST_MACHINES);
     int hosts = (int) whole(toml, "hosts", Plan.HOSTS, 1, MOST_MACHINES);
@@ -80,7 +81,9 @@
             (int) whole(toml, "sockets", Plan.USUAL_SOCKETS, LEAST_SOCKETS, MOST_SOCKETS),
             List.of(),
             clients(toml),
-            membership(toml));
+            flag(toml, "shares")
+                ? Plan.View.SHARES
+                : flag(toml, "membership") ? Plan.View.MEMBERS : Plan.View.NONE);
     return plan.with(faults(toml, plan));
   }
 
@@ -138,10 +141,10 @@
     }
   }
 
-  private boolean membership(TomlTable toml) throws ScriptException {
-    Object value = toml.get(List.of("membership"));
+  private boolean flag(TomlTable toml, String key) throws ScriptException {
+    Object value = toml.get(List.of(key));
     if (value != null && !(value instanceof Boolean)) {
-      throw wrong(toml, "membership", "'membership' must be true or false");
+      throw wrong(toml, key, "'" + key + "' must be true or false");
     }
     return Boolean.TRUE.equals(value);
   }
@@ -223,7 +226,7 @@
     text.append("sockets = ").append(plan.sockets()).append('\n');
     text.append("clients = \"").append(plan.clients()).append("\"\n");
     if (plan.membership()) {
-      text.append("membership = true\n");
+      text.append(plan.shares() ? "shares = true\n" : "membership = true\n");
     }
     for (Fault fault : plan.faults()) {
       text.append("\n[[fault]]\n");
--- a/src/main/java/brassbank/sim/members/Flock.java
+++ b/src/main/java/brassbank/sim/members/Flock.java
@@ -101,7 +101,8 @@
               name,
               machine.zone(),
               new java.util.SplittableRandom(stream.bits()),
-              () -> Activity.ACTIVE);
+              () -> Activity.ACTIVE,
+              null);
       Fleet mine = fleet;
       long thisLife = ++life;
       fleet.listen(
--- a/src/test/java/brassbank/sim/MembershipTest.java
+++ b/src/test/java/brassbank/sim/MembershipTest.java
@@ -54,7 +54,7 @@
   void holdsAllRulesAgainstDrawnFaults() {
     List<Plan> plans = new ArrayList<>();
     for (long seed = 1; seed <= 8; seed++) {
-      plans.add(Plan.drawn(seed, Plan.SECONDS, 5, Plan.HOSTS, Plan.RATE).withMembership(true));
+      plans.add(Plan.drawn(seed, Plan.SECONDS, 5, Plan.HOSTS, Plan.RATE).with(Plan.View.MEMBERS));
     }
     assertThat(broken(plans)).isEmpty();
   }
