--- a/src/main/java/brassbank/Commands.java
+++ b/src/main/java/brassbank/Commands.java
@@ -2,6 +2,7 @@
 
 import brassbank.lab.LabCommand;
 import brassbank.load.LoadCommand;
+import brassbank.sim.cli.ExperimentCommand;
 import brassbank.sim.cli.SimulateCommand;
 import brassbank.sim.members.MembersDrillCommand;
 import java.util.List;
@@ -24,6 +25,7 @@
         new DrillCommand(),
         new LoadCommand(),
         new SimulateCommand(),
+        new ExperimentCommand(),
         new LabCommand(),
         new MembersDrillCommand());
   }
--- a/src/main/java/brassbank/MembersCommand.java
+++ b/src/main/java/brassbank/MembersCommand.java
@@ -129,6 +129,16 @@
         view.get("displaced").getAsBoolean()
             ? "DISPLACED: another process has its name"
             : view.get("settled").getAsBoolean() ? "settled" : "not settled");
+    if (view.has("share")) {
+      JsonObject share = view.getAsJsonObject("share");
+      out.printf(
+          Locale.ROOT,
+          "spends %.1f%% of each budget of the fleet, %s%n",
+          100 * share.get("part").getAsDouble(),
+          share.get("seated").getAsBoolean()
+              ? "with a seat, one of " + share.get("of").getAsInt()
+              : "without a seat");
+    }
     out.printf(
         "%-16s %-22s %-10s %-8s %-9s %10s  %s%n",
         "member", "address", "zone", "state", "activity", "for", "incarnation");
--- a/src/main/java/brassbank/fleet/Fleet.java
+++ b/src/main/java/brassbank/fleet/Fleet.java
@@ -228,7 +228,7 @@
 
   /** The view and its figures, for operators; in ASCII. */
   public String json() {
-    return Told.json(now(), name, membership, traffic);
+    return Told.json(now(), name, membership, sharing, traffic);
   }
 
   /** Null while this program is no member. */
--- a/src/main/java/brassbank/fleet/Sharing.java
+++ b/src/main/java/brassbank/fleet/Sharing.java
@@ -26,9 +26,9 @@
   private Part last;
 
   /**
+   * @param base the part of the budgets that goes by the file's numbers
    * @param process by chance, new with each start
    * @param send a datagram to an address
-   * @param told hears of each change of what may be spent
    */
   Sharing(
       Sharer sharer,
@@ -76,9 +76,9 @@
     }
   }
 
-  /** What may be spent, as it was told last. */
-  Part part() {
-    return last;
+  /** What may be spent now. */
+  Part part(long now) {
+    return seats.part(now);
   }
 
   Seats seats() {
--- a/src/main/java/brassbank/fleet/Told.java
+++ b/src/main/java/brassbank/fleet/Told.java
@@ -4,6 +4,8 @@
 import brassbank.membership.Member;
 import brassbank.membership.Membership;
 import brassbank.membership.View;
+import brassbank.shares.Part;
+import brassbank.shares.Seats;
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
 import java.net.InetSocketAddress;
@@ -16,7 +18,8 @@
 
   private Told() {}
 
-  static String json(long now, String name, Membership membership, Traffic traffic) {
+  static String json(
+      long now, String name, Membership membership, Sharing sharing, Traffic traffic) {
     JsonObject json = new JsonObject();
     json.addProperty("self", name);
     json.addProperty("member", membership != null);
@@ -30,6 +33,9 @@
     JsonArray members = new JsonArray();
     view.members().forEach(member -> members.add(member(now, member)));
     json.add("members", members);
+    if (sharing != null) {
+      json.add("share", share(sharing.part(now), sharing.seats()));
+    }
     JsonObject figures = new JsonObject();
     figures.addProperty("sent", traffic.sent());
     figures.addProperty("sent_bytes", traffic.sentBytes());
@@ -55,6 +61,18 @@
     return json.toString();
   }
 
+  private static JsonObject share(Part part, Seats seats) {
+    JsonObject json = new JsonObject();
+    json.addProperty("part", part.part());
+    json.addProperty("base", part.base());
+    json.addProperty("seated", part.seated());
+    json.addProperty("turn", part.turn());
+    json.addProperty("of", part.of());
+    json.addProperty("rank_taken", seats.taken());
+    json.addProperty("other_size", seats.refused());
+    return json;
+  }
+
   private static JsonObject member(long now, Member member) {
     JsonObject json = new JsonObject();
     json.addProperty("name", member.name());
--- a/src/main/java/brassbank/sim/Run.java
+++ b/src/main/java/brassbank/sim/Run.java
@@ -13,6 +13,8 @@
 import brassbank.sim.proxy.ProxyNode;
 import brassbank.sim.time.Agenda;
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 import java.util.function.UnaryOperator;
 
 /** One run of a plan: the world is built, everybody starts, and time goes by under all checks. */
@@ -78,6 +80,18 @@
     return scene.trace();
   }
 
+  /** What each host can hold once it is warm, by its name, in sessions of mean load. */
+  public Map<String, Double> capacities() {
+    Map<String, Double> capacities = new TreeMap<>();
+    scene.world().hosts().forEach((name, host) -> capacities.put(name, host.capacity()));
+    return capacities;
+  }
+
+  /** The zones of hosts and proxies, by their names. */
+  public Map<String, String> zones() {
+    return scene.zones();
+  }
+
   /** Puts what the proxies log into the trace. */
   public void withLogs() {
     logs = true;
--- a/src/main/java/brassbank/sim/Scene.java
+++ b/src/main/java/brassbank/sim/Scene.java
@@ -144,6 +144,14 @@
     return world;
   }
 
+  /** The zones of hosts and proxies, by their names. */
+  public Map<String, String> zones() {
+    Map<String, String> zones = new LinkedHashMap<>();
+    world.hosts().forEach((name, host) -> zones.put(name, host.machine().zone()));
+    proxies.forEach((name, proxy) -> zones.put(name, proxy.machine().zone()));
+    return zones;
+  }
+
   /** To be listened to before {@link #begin}. */
   public Trace trace() {
     return trace;
--- a/src/main/java/brassbank/sim/Service.java
+++ b/src/main/java/brassbank/sim/Service.java
@@ -55,6 +55,11 @@
     wanting.values().forEach(since -> waited += now - since);
   }
 
+  /** Clients that were not served, after all their tries. */
+  public int gaveUp() {
+    return gaveUp;
+  }
+
   /** Share of the wanted seconds that was served. */
   public double share() {
     long all = served + waited + lost;
--- a/src/main/java/brassbank/sim/actor/Client.java
+++ b/src/main/java/brassbank/sim/actor/Client.java
@@ -109,9 +109,13 @@
     return name;
   }
 
+  private Event came(boolean again) {
+    return new Event.ClientCame(name, again, kind.name(), tenant, group);
+  }
+
   /** Comes for the first time. */
   public void start() {
-    world.tell(new Event.ClientCame(name, false));
+    world.tell(came(false));
     come();
   }
 
@@ -146,7 +150,7 @@
       return;
     }
     again = true;
-    world.tell(new Event.ClientCame(name, true));
+    world.tell(came(true));
     program.later(stream.micros(RETURN_LEAST, RETURN_MOST), this::come);
   }
 
--- a/src/main/java/brassbank/sim/actor/StreamHost.java
+++ b/src/main/java/brassbank/sim/actor/StreamHost.java
@@ -258,6 +258,7 @@
     public void run() {
       for (Endpoint endpoint = port.accept(); endpoint != null; endpoint = port.accept()) {
         connections.add(new Connection(endpoint));
+        world.tell(new Event.HostConnected(name, endpoint.peerMachine().name()));
       }
     }
   }
--- a/src/main/java/brassbank/sim/event/Event.java
+++ b/src/main/java/brassbank/sim/event/Event.java
@@ -42,8 +42,15 @@
   record ClientSawEnd(String flow, boolean served, boolean moved, boolean byHost, boolean reset)
       implements Event {}
 
-  /** A client wants to be served from now on: for the first time, or again after an end. */
-  record ClientCame(String client, boolean again) implements Event {}
+  /**
+   * A client wants to be served from now on: for the first time, or again after an end.
+   *
+   * @param kind the class of its flows
+   * @param practice whom it belongs to
+   * @param model the project model that its sessions need
+   */
+  record ClientCame(String client, boolean again, String kind, String practice, String model)
+      implements Event {}
 
   /**
    * A client that came at {@code cameAt} is not served, after all its tries.
@@ -68,6 +75,9 @@
 
   // ------------------------------------------------------------- stream hosts
 
+  /** A stream host has accepted a connection, for whatever. */
+  record HostConnected(String host, String proxy) implements Event {}
+
   /**
    * A stream host has read a flow's line.
    *
--- /dev/null
+++ b/src/main/java/brassbank/sim/experiment/Counted.java
@@ -0,0 +1,170 @@
+package brassbank.sim.experiment;
+
+import brassbank.sim.Service;
+import brassbank.sim.event.Event;
+import brassbank.sim.event.Trace;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/** Counts a play as hosts and clients see it. Nothing that a proxy says of itself goes in. */
+final class Counted implements Trace.Listener {
+  private static final double SECOND = 1_000_000;
+
+  private record Session(String host, String model) {}
+
+  private final Map<String, Double> capacities;
+  private final Map<String, String> zones;
+  private final Service all = new Service();
+  private final Map<String, Service> byClass = new TreeMap<>();
+  private final Map<String, Service> byPractice = new TreeMap<>();
+  private final Map<String, Event.ClientCame> clients = new HashMap<>();
+  private final Map<String, Integer> probes = new HashMap<>();
+  private final Map<String, Integer> connects = new HashMap<>();
+  private final Map<String, String> proxyOf = new HashMap<>();
+  private final Map<String, Session> sessions = new HashMap<>();
+  private final Map<String, Double> sessionSeconds = new HashMap<>();
+  private final Map<String, Integer> standing = new HashMap<>();
+  private double pairSeconds;
+  private double modelSeconds;
+  private long lookedAt;
+  private int refusals;
+  private int begun;
+  private int crossed;
+  private int setups;
+  private int listCalls;
+
+  /**
+   * @param capacities of the hosts, by name, in sessions of mean load
+   * @param zones of hosts and proxies, by name
+   */
+  Counted(Map<String, Double> capacities, Map<String, String> zones) {
+    this.capacities = capacities;
+    this.zones = zones;
+  }
+
+  @Override
+  public void see(long now, Event event) {
+    all.see(now, event);
+    String client = client(event);
+    if (event instanceof Event.ClientCame came) {
+      clients.put(came.client(), came);
+    }
+    if (client != null) {
+      Event.ClientCame who = clients.get(client);
+      byClass.computeIfAbsent(who.kind(), k -> new Service()).see(now, event);
+      byPractice.computeIfAbsent(who.practice(), p -> new Service()).see(now, event);
+    }
+    if (event instanceof Event.ProbeArrived probe) {
+      probes.merge(probe.host(), 1, Integer::sum);
+    } else if (event instanceof Event.HostConnected connected) {
+      connects.merge(connected.host(), 1, Integer::sum);
+    } else if (event instanceof Event.AttemptArrived arrived) {
+      setups++;
+      proxyOf.put(arrived.flow(), arrived.proxy());
+    } else if (event instanceof Event.AttemptAnswered answer && answer.line().startsWith("UP ")) {
+      began(now, answer.flow(), answer.host());
+    } else if (event instanceof Event.ProxyEnded ended) {
+      over(now, ended.flow(), ended.host());
+    } else if (event instanceof Event.HostEnded ended) {
+      over(now, ended.flow(), ended.host());
+    } else if (event instanceof Event.FlowAnswered answer && answer.line().startsWith("BUSY")) {
+      refusals++;
+    } else if (event instanceof Event.ListCalled) {
+      listCalls++;
+    }
+  }
+
+  private static String client(Event event) {
+    if (event instanceof Event.ClientCame came) {
+      return came.client();
+    } else if (event instanceof Event.ClientServed served) {
+      return served.client();
+    } else if (event instanceof Event.ClientOver over) {
+      return over.client();
+    } else if (event instanceof Event.ClientGaveUp gone) {
+      return gone.client();
+    }
+    return null;
+  }
+
+  private void began(long now, String flow, String host) {
+    pass(now);
+    begun++;
+    String proxy = proxyOf.get(flow);
+    crossed += zones.get(host).equals(zones.get(proxy)) ? 0 : 1;
+    Event.ClientCame who = clients.get(flow.substring(0, flow.indexOf('.')));
+    if (who != null) {
+      sessions.put(flow, new Session(host, who.model()));
+      standing.merge(host, 1, Integer::sum);
+    }
+  }
+
+  private void over(long now, String flow, String host) {
+    Session session = sessions.get(flow);
+    if (session != null && session.host().equals(host)) {
+      pass(now);
+      sessions.remove(flow);
+      standing.merge(host, -1, Integer::sum);
+    }
+  }
+
+  /** What stands now has stood since the last look. */
+  private void pass(long now) {
+    double seconds = (now - lookedAt) / SECOND;
+    if (seconds < 0.05) {
+      return;
+    }
+    lookedAt = now;
+    Set<Session> pairs = new HashSet<>(sessions.values());
+    Set<String> models = new HashSet<>();
+    pairs.forEach(pair -> models.add(pair.model()));
+    pairSeconds += seconds * pairs.size();
+    modelSeconds += seconds * models.size();
+    standing.forEach((host, count) -> sessionSeconds.merge(host, seconds * count, Double::sum));
+  }
+
+  Map<Figure, Double> figures(long now, boolean sound) {
+    pass(now);
+    all.end(now);
+    double seconds = now / SECOND;
+    int hosts = capacities.size();
+    Map<Figure, Double> figures = new EnumMap<>(Figure.class);
+    figures.put(Figure.SERVED, 100 * all.share());
+    figures.put(Figure.WORST_CLASS, worst(now, byClass));
+    figures.put(Figure.WORST_PRACTICE, worst(now, byPractice));
+    figures.put(Figure.GAVE_UP, (double) all.gaveUp());
+    figures.put(Figure.REFUSALS, (double) refusals);
+    figures.put(Figure.CROSSINGS, begun == 0 ? 0 : 100.0 * crossed / begun);
+    figures.put(Figure.SETUPS, (double) setups);
+    figures.put(Figure.PROBES, sum(probes) / hosts / seconds);
+    figures.put(Figure.PROBES_TOP, top(probes));
+    figures.put(Figure.CONNECTS, sum(connects) / hosts / seconds);
+    figures.put(Figure.CONNECTS_TOP, top(connects));
+    Map<String, Double> filled = new HashMap<>();
+    sessionSeconds.forEach((host, held) -> filled.put(host, held / capacities.get(host)));
+    figures.put(Figure.SESSIONS_TOP, top(filled));
+    figures.put(Figure.MODEL_HOSTS, modelSeconds == 0 ? 0 : pairSeconds / modelSeconds);
+    figures.put(Figure.LIST_CALLS, (double) listCalls);
+    figures.put(Figure.BROKEN, sound ? 0.0 : 1.0);
+    return figures;
+  }
+
+  private static double worst(long now, Map<String, Service> parts) {
+    parts.values().forEach(part -> part.end(now));
+    return parts.values().stream().mapToDouble(part -> 100 * part.share()).min().orElse(100);
+  }
+
+  private static double sum(Map<String, ? extends Number> counts) {
+    return counts.values().stream().mapToDouble(Number::doubleValue).sum();
+  }
+
+  private double top(Map<String, ? extends Number> counts) {
+    double mean = sum(counts) / capacities.size();
+    double most = counts.values().stream().mapToDouble(Number::doubleValue).max().orElse(0);
+    return mean == 0 ? 1 : most / mean;
+  }
+}
--- /dev/null
+++ b/src/main/java/brassbank/sim/experiment/Experiment.java
@@ -0,0 +1,79 @@
+package brassbank.sim.experiment;
+
+import brassbank.sim.Run;
+import brassbank.sim.fault.Plan;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.function.BiFunction;
+import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
+
+/** Plays variants on the same seeds, several plays at once, each on one thread. */
+public final class Experiment {
+  private final BiFunction<Variant, Long, Plan> plans;
+  private final int jobs;
+  private final Consumer<Integer> progress;
+
+  /**
+   * @param plans the plan of a variant and a seed
+   * @param progress hears, on any thread, how many plays are over
+   */
+  public Experiment(BiFunction<Variant, Long, Plan> plans, int jobs, Consumer<Integer> progress) {
+    this.plans = plans;
+    this.jobs = jobs;
+    this.progress = progress;
+  }
+
+  /** The figures of each variant, by the seeds' order. */
+  public Map<Variant, List<Map<Figure, Double>>> run(List<Variant> variants, long first, long last)
+      throws InterruptedException {
+    ExecutorService workers = Executors.newFixedThreadPool(jobs);
+    try {
+      Map<Variant, List<Future<Map<Figure, Double>>>> under = new LinkedHashMap<>();
+      variants.forEach(variant -> under.put(variant, new ArrayList<>()));
+      java.util.concurrent.atomic.AtomicInteger over =
+          new java.util.concurrent.atomic.AtomicInteger();
+      for (long seed = first; seed <= last; seed++) {
+        for (Variant variant : variants) {
+          Plan plan = plans.apply(variant, seed);
+          under
+              .get(variant)
+              .add(
+                  workers.submit(
+                      () -> {
+                        Map<Figure, Double> figures = play(plan);
+                        progress.accept(over.incrementAndGet());
+                        return figures;
+                      }));
+        }
+      }
+      Map<Variant, List<Map<Figure, Double>>> results = new LinkedHashMap<>();
+      for (Variant variant : variants) {
+        List<Map<Figure, Double>> all = new ArrayList<>();
+        for (Future<Map<Figure, Double>> one : under.get(variant)) {
+          all.add(one.get());
+        }
+        results.put(variant, all);
+      }
+      return results;
+    } catch (ExecutionException e) {
+      throw new IllegalStateException("a play failed", e.getCause());
+    } finally {
+      workers.shutdownNow();
+    }
+  }
+
+  private static Map<Figure, Double> play(Plan plan) {
+    Run run = new Run(plan, UnaryOperator.identity());
+    Counted counted = new Counted(run.capacities(), run.zones());
+    run.trace().listen(counted);
+    Run.Outcome outcome = run.go();
+    return counted.figures(outcome.endedAt(), outcome.sound());
+  }
+}
--- /dev/null
+++ b/src/main/java/brassbank/sim/experiment/Variant.java
@@ -0,0 +1,21 @@
+package brassbank.sim.experiment;
+
+import brassbank.sim.fault.Plan;
+
+/**
+ * One way in which the seeds are played.
+ *
+ * @param view what the proxies do together
+ */
+public record Variant(Plan.View view, int proxies, int hosts, double rate) {
+  /** Its name in tables and files. */
+  public String text() {
+    String together =
+        switch (view) {
+          case NONE -> "off";
+          case MEMBERS -> "membership";
+          case SHARES -> "shares";
+        };
+    return together + " " + proxies + "x" + hosts;
+  }
+}
--- a/src/test/java/brassbank/ArchitectureTest.java
+++ b/src/test/java/brassbank/ArchitectureTest.java
@@ -312,7 +312,11 @@
     noClasses()
         .that()
         .resideOutsideOfPackages(
-            "brassbank.membership..", "brassbank.fleet", "brassbank.proxy", "brassbank.sim..")
+            "brassbank.membership..",
+            "brassbank.shares.wire",
+            "brassbank.fleet",
+            "brassbank.proxy",
+            "brassbank.sim..")
         .should()
         .dependOnClassesThat(
             describe(
