--- a/src/main/java/brassbank/shares/SeatSettings.java
+++ b/src/main/java/brassbank/shares/SeatSettings.java
@@ -13,7 +13,7 @@
   private static final long MILLI = 1_000;
 
   /** The base where the file says nothing: what it costs and brings stands in docs/shares.md. */
-  public static final double USUAL_BASE = 0.5;
+  public static final double USUAL_BASE = 0.25;
 
   public SeatSettings {
     if (!(base >= 0 && base <= 1)) {
--- a/src/main/java/brassbank/sim/fault/Night.java
+++ b/src/main/java/brassbank/sim/fault/Night.java
@@ -50,6 +50,21 @@
       int count = site.replaced(0.6, 7_000, 7_000);
       site.bad(site.hosts().subList(count, site.hosts().size()));
     }
+  },
+
+  /**
+   * Three in seven proxies die one after the other and stay away for most of the night, while six
+   * in ten hosts are replaced: what the dead might have placed at cold hosts is there for the rest.
+   */
+  SHRUNK {
+    @Override
+    void draw(Site site) {
+      int dead = site.proxies().size() * 3 / 7;
+      for (int i = 0; i < dead; i++) {
+        site.add("proxy-crash", 3_000 + 400L * i, 30_000, site.proxies().get(i), 0);
+      }
+      site.replaced(0.85, 9_000, 1_500);
+    }
   };
 
   public static final int PROXIES = 14;
--- a/src/test/java/brassbank/FleetIT.java
+++ b/src/test/java/brassbank/FleetIT.java
@@ -151,7 +151,7 @@
     assertThat(said).contains("404").contains("keeps no view of a fleet");
     assertThat(Files.readString(folder.resolve("off.log")))
         .contains("brassbank.net.Net source")
-        .doesNotContain("brassbank.membership")
+        .doesNotContain("brassbank.membership", "brassbank.shares", "org.apache.commons.math3")
         .doesNotContain("brassbank.fleet")
         .doesNotContain("Datagram");
     // Nobody has the port for datagrams.
--- a/src/test/java/brassbank/lab/LabIT.java
+++ b/src/test/java/brassbank/lab/LabIT.java
@@ -38,12 +38,15 @@
   private static final Lab.Watcher NOBODY = (lab, now) -> {};
   private static final Supplier<Hand> NONE = Nothing::new;
 
-  /** All of the lab's, and of the fleet's own one; the others of these take minutes. */
+  /** All of the lab's, one of membership's, one of shares'; the others of these take minutes. */
   static Stream<Path> scripts() throws IOException {
     Path members = Path.of("src/test/resources/lab-members");
+    Path shares = Path.of("src/test/resources/lab-shares");
     try (Stream<Path> files = Files.list(SCRIPTS)) {
       return Stream.concat(
-          Stream.of(members.resolve("one-of-five-is-killed.toml")),
+          Stream.of(
+              members.resolve("one-of-five-is-killed.toml"),
+              shares.resolve("one-of-three-is-killed.toml")),
           files.sorted().toList().stream());
     }
   }
--- a/src/test/java/brassbank/shares/SeatsTest.java
+++ b/src/test/java/brassbank/shares/SeatsTest.java
@@ -7,6 +7,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.Comparator;
 import java.util.List;
 import java.util.PriorityQueue;
@@ -305,4 +306,35 @@
     assertThat(weather.parts[6].part()).isCloseTo(0.25 / 7 + 0.75 / 4, within(1e-9));
     assertThat(weather.most).isLessThanOrEqualTo(1 + 1e-9);
   }
+
+  /** Whatever comes is read or refused, and nothing that is read is beyond its bounds. */
+  @Test
+  void readsAnythingWithoutFailing() {
+    SplittableRandom random = new SplittableRandom(5);
+    SeatCodec codec = new SeatCodec("leith");
+    BitSet seats = new BitSet();
+    seats.set(3);
+    byte[] good = codec.write(new SeatMessage(SeatMessage.Kind.HELD, 7, 2, 14, 9, seats));
+    int read = 0;
+    for (int i = 0; i < 200_000; i++) {
+      byte[] bytes = good.clone();
+      int at = 3 + random.nextInt(bytes.length - 7);
+      bytes[at] = (byte) random.nextInt(256);
+      java.util.zip.CRC32C sum = new java.util.zip.CRC32C();
+      sum.update(bytes, 0, bytes.length - 4);
+      java.nio.ByteBuffer.wrap(bytes).putInt(bytes.length - 4, (int) sum.getValue());
+      if (random.nextInt(4) == 0) {
+        bytes = java.util.Arrays.copyOf(bytes, random.nextInt(bytes.length + 40));
+      }
+      try {
+        SeatMessage message = codec.read(bytes);
+        assertThat(message.rank()).isBetween(0, message.of() - 1);
+        assertThat(message.seats().length()).isLessThanOrEqualTo(message.of());
+        read++;
+      } catch (brassbank.membership.wire.RefusedException e) {
+        assertThat(e.why()).isNotNull();
+      }
+    }
+    assertThat(read).isBetween(10_000, 190_000);
+  }
 }
