Turns: with shares one proxy leaves at a time by operators' calls, and none while too few are left

Change: PUT /standby asks the keepers of the seats first; a majority lets one process go for 5 s; 409 says for whom another is put off. SIGTERM asks nobody.

Shown: in fleets of five in bad weather two that are let go are over 4 s apart; one that is stopped while it asks does not leave afterwards; whole proxies and five real processes: n1 leaves, n3 after 0.3 s and n4 after 2 s are put off, all rules hold. A new rule counts who was answered yes; keepers that let everybody go break it.

Also: a base of 0 is turned down, since a part of nothing has no inverse (found in reading).

--- a/src/main/java/brassbank/config/file/Keys.java
+++ b/src/main/java/brassbank/config/file/Keys.java
@@ -152,7 +152,7 @@
   static final Key<Double> BASE =
       key(
           "shares.base",
-          Kind.part(),
+          Kind.part(0.05),
           null,
           "The part of each budget that goes by the numbers of the platform's file, whoever is"
               + " there; the rest is shared by who is. With 1.0 all goes by the file. It must be"
--- a/src/main/java/brassbank/config/file/Kind.java
+++ b/src/main/java/brassbank/config/file/Kind.java
@@ -100,12 +100,12 @@
     };
   }
 
-  /** A part of a whole. */
-  static Kind<Double> part() {
-    return new Kind<>(0.0, 1.0) {
+  /** A part of a whole, from the least on. */
+  static Kind<Double> part(double least) {
+    return new Kind<>(least, 1.0) {
       @Override
       String form() {
-        return "a number from 0.0 to 1.0";
+        return "a number from " + least + " to 1.0";
       }
 
       @Override
--- a/src/main/java/brassbank/fleet/Fleet.java
+++ b/src/main/java/brassbank/fleet/Fleet.java
@@ -172,7 +172,7 @@
     traffic.receivedBytes += bytes.length;
     try {
       if (sharing != null && SeatCodec.marked(bytes)) {
-        sharing.heard(now(), from, bytes);
+        sharing.heard(now(), from, bytes, membership.view());
       } else {
         membership.receive(now(), from, codec.read(bytes), outbox);
       }
@@ -214,6 +214,20 @@
     }
   }
 
+  /** Whether the fleet is asked before this program leaves by its operators' call. */
+  public boolean leavesInTurn() {
+    return sharing != null;
+  }
+
+  /**
+   * Asks the fleet whether this program may leave by its operators' call.
+   *
+   * @param then hears null where it may, and else in one line why not, within a second
+   */
+  public void askToLeave(Consumer<String> then) {
+    sharing.askToLeave(now(), membership.view(), then);
+  }
+
   /** Has each change told, in order. */
   public void listen(Consumer<Change> listener) {
     listeners.add(listener);
--- a/src/main/java/brassbank/fleet/Sharing.java
+++ b/src/main/java/brassbank/fleet/Sharing.java
@@ -3,6 +3,7 @@
 import brassbank.membership.Member;
 import brassbank.membership.View;
 import brassbank.membership.wire.RefusedException;
+import brassbank.shares.Leave;
 import brassbank.shares.Part;
 import brassbank.shares.SeatOutbox;
 import brassbank.shares.SeatSettings;
@@ -24,6 +25,7 @@
   private final Consumer<Part> told;
   private final SeatOutbox outbox;
   private Part last;
+  private Consumer<String> leaving;
 
   /**
    * @param base the part of the budgets that goes by the file's numbers
@@ -56,14 +58,66 @@
   void beat(long now, boolean wants, View view) {
     seats.beat(now, wants && !view.displaced(), others(view), outbox);
     tell(now);
+    leave(now, view);
   }
 
-  void heard(long now, InetSocketAddress from, byte[] bytes) throws RefusedException {
+  void heard(long now, InetSocketAddress from, byte[] bytes, View view) throws RefusedException {
     seats.receive(now, from, codec.read(bytes), outbox);
     tell(now);
+    leave(now, view);
+  }
+
+  /**
+   * Asks the fleet whether this process may leave.
+   *
+   * @param then hears null where it may, and else in one line why not, within a second
+   */
+  void askToLeave(long now, View view, Consumer<String> then) {
+    if (leaving != null) {
+      then.accept("put off: asked already");
+      return;
+    }
+    leaving = then;
+    seats.askToLeave(now, others(view), outbox);
+    leave(now, view);
+  }
+
+  private void leave(long now, View view) {
+    if (leaving == null) {
+      return;
+    }
+    Leave known = seats.leave(now, others(view), outbox);
+    if (known != null && known.answer() != Leave.Answer.ASKED) {
+      Consumer<String> then = leaving;
+      leaving = null;
+      then.accept(text(known, view));
+    }
+  }
+
+  private String text(Leave known, View view) {
+    return switch (known.answer()) {
+      case OTHER_LEAVES -> "put off: " + name(known.other(), view) + " leaves";
+      case TOO_FEW -> "put off: too few others could carry its clients";
+      case NOBODY_ANSWERS -> "put off: no majority of the fleet answers";
+      default -> null;
+    };
+  }
+
+  private String name(int rank, View view) {
+    InetSocketAddress address = seats.address(rank);
+    for (Member member : view.members()) {
+      if (member.address().equals(address)) {
+        return member.name();
+      }
+    }
+    return "rank " + rank;
   }
 
   void close(long now, View view) {
+    if (leaving != null) {
+      leaving.accept("put off: it ends");
+      leaving = null;
+    }
     seats.close(now, others(view), outbox);
     tell(now);
   }
--- a/src/main/java/brassbank/lab/RealProxy.java
+++ b/src/main/java/brassbank/lab/RealProxy.java
@@ -490,9 +490,13 @@
 
   // -------------------------------------------------------------- membership
 
+  /** Its processes share the fleet's budgets, and leave in turn. */
+  private boolean sharing;
+
   /** Its processes join a fleet, which they look for at these proxies' places. */
   void joins(List<RealProxy> others, boolean shares) throws IOException {
     seeds = List.copyOf(others);
+    sharing = shares;
     StringBuilder text = new StringBuilder("[membership]\nfleet = \"lab\"\n");
     text.append("advertise = \"").append(text(common())).append("\"\nseeds = [");
     seeds.forEach(other -> text.append('"').append(text(other.common())).append("\","));
@@ -604,9 +608,28 @@
     }
     ProxyProcess called = process;
     InetSocketAddress management = lab.loopback().management(name, called.number());
+    if (sharing) {
+      lab.helpers()
+          .apart(
+              () -> Call.yes(management, "PUT", "/standby"),
+              yes -> {
+                if (yes) {
+                  away(called, management, awayFor);
+                } else {
+                  world.tell(new Event.ProxyPutOff(name));
+                }
+              },
+              this::lost);
+      return;
+    }
+    away(called, management, awayFor);
+    call(management, "/standby", () -> {});
+  }
+
+  /** Its clients are sent away from here on. */
+  private void away(ProxyProcess called, InetSocketAddress management, long awayFor) {
     world.tell(new Event.ProxyOnStandby(name));
     world.front().stopping(name);
-    call(management, "/standby", () -> {});
     world
         .agenda()
         .after(
--- a/src/main/java/brassbank/management/Management.java
+++ b/src/main/java/brassbank/management/Management.java
@@ -84,12 +84,19 @@
         link.buffer().clear();
         return;
       }
-      Reply reply = request.reply(link.buffer().held(), operators);
+      Reply reply = request.reply(link.buffer().held(), operators, this::later);
       if (reply != null) {
         answer(reply);
       }
     }
 
+    /** The caller may have gone meanwhile, or have been told that it took too long. */
+    private void later(Reply reply) {
+      if (!answered && callers.contains(this)) {
+        answer(reply);
+      }
+    }
+
     /** A connection whose every byte was read ends at once; another is read until its end. */
     private void answer(Reply reply) {
       answered = true;
--- a/src/main/java/brassbank/management/Request.java
+++ b/src/main/java/brassbank/management/Request.java
@@ -1,5 +1,6 @@
 package brassbank.management;
 
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -33,6 +34,9 @@
 
   private boolean head = true;
 
+  /** The answer comes later. */
+  private boolean waits;
+
   /** Takes the next line of the head, without its end. */
   void line(String line) {
     if (method == null && error == null) {
@@ -100,8 +104,12 @@
    * is done here.
    *
    * @param held how many bytes have come after the head
+   * @param later hears the answer where others are asked first, perhaps within this call
    */
-  Reply reply(int held, Operators operators) {
+  Reply reply(int held, Operators operators, Consumer<Reply> later) {
+    if (waits) {
+      return null;
+    }
     if (error != null) {
       return error;
     }
@@ -110,13 +118,22 @@
     }
     return switch (path) {
       case "/status" -> reply("GET", operators::status);
-      case "/standby" -> reply("PUT", operators::standby);
+      case "/standby" -> standby(operators, later);
       case "/active" -> reply("PUT", operators::active);
       case "/members" -> members(operators);
       default -> new Reply(404, "only /status, /standby, /active and /members are here");
     };
   }
 
+  private Reply standby(Operators operators, Consumer<Reply> later) {
+    waits = method.equals("PUT") && operators.standby(answer -> later.accept(put(answer)));
+    return waits ? null : reply("PUT", operators::standby);
+  }
+
+  private static Reply put(Operators.Answer answer) {
+    return new Reply(answer.yes() ? 200 : 409, answer.text());
+  }
+
   private Reply members(Operators operators) {
     if (!method.equals("GET")) {
       return new Reply(405, "only GET", "Allow: GET\r\n");
--- a/src/main/java/brassbank/proxy/Operation.java
+++ b/src/main/java/brassbank/proxy/Operation.java
@@ -8,6 +8,7 @@
 import brassbank.management.Operators;
 import brassbank.net.Net;
 import java.util.Locale;
+import java.util.function.Consumer;
 
 /** What operators ask for, as the facade hears it, and its state, as they do. */
 final class Operation implements Operators {
@@ -40,6 +41,15 @@
     return answer(decider.leaving());
   }
 
+  @Override
+  public boolean standby(Consumer<Answer> then) {
+    if (fleet == null || !fleet.leavesInTurn() || decider.state() != State.ACTIVE) {
+      return false;
+    }
+    fleet.askToLeave(why -> then.accept(why == null ? standby() : new Answer(false, why)));
+    return true;
+  }
+
   /** A proxy that will end takes no clients, whoever asks. */
   @Override
   public Answer active() {
--- a/src/main/java/brassbank/proxy/Proxy.java
+++ b/src/main/java/brassbank/proxy/Proxy.java
@@ -198,6 +198,21 @@
     net.execute(() -> dispatcher.report(new Happening.StandbyAsked()));
   }
 
+  /**
+   * The same by the fleet's leave, where it gives any; any thread may call.
+   *
+   * @param told hears on the loop's thread whether the clients are sent away now
+   */
+  public void standby(Consumer<Boolean> told) {
+    Operation operation = new Operation(decider, dispatcher, net, fleet);
+    net.execute(
+        () -> {
+          if (!operation.standby(answer -> told.accept(answer.yes()))) {
+            told.accept(operation.standby().yes());
+          }
+        });
+  }
+
   /** Takes clients again; any thread may call. */
   public void active() {
     net.execute(() -> dispatcher.report(new Happening.ActiveAsked()));
--- a/src/main/java/brassbank/shares/Keeper.java
+++ b/src/main/java/brassbank/shares/Keeper.java
@@ -14,13 +14,23 @@
 final class Keeper {
   private record Held(long process, long until) {}
 
+  /**
+   * Who is let go has the turn for so long from its asking's arrival: longer than it may wait for
+   * the others' answers, and then take to send its clients away (4 s).
+   */
+  static final long LEAVING = 5_000_000;
+
   private final long holds;
   private final long silentUntil;
+  private final long silentOnLeaving;
+  private int leaver;
+  private Held leaving = new Held(0, Long.MIN_VALUE);
   private final Map<Integer, Held> seats = new HashMap<>();
 
   Keeper(long holds, long now) {
     this.holds = holds;
     silentUntil = now + holds;
+    silentOnLeaving = now + LEAVING;
   }
 
   /** Whether it speaks yet. */
@@ -46,6 +56,33 @@
     }
   }
 
+  /** Whether it says who may leave yet. */
+  boolean speaksOfLeaving(long now) {
+    return now >= silentOnLeaving;
+  }
+
+  /** Lets the process go; false where another has the turn, which is {@link #leaver} then. */
+  boolean letGo(long now, int rank, long process) {
+    if (leaving.until() > now && leaving.process() != process) {
+      return false;
+    }
+    leaver = rank;
+    leaving = new Held(process, now + LEAVING);
+    return true;
+  }
+
+  /** The rank that was let go last. */
+  int leaver() {
+    return leaver;
+  }
+
+  /** The process does not leave after all. */
+  void stays(long process) {
+    if (leaving.process() == process) {
+      leaving = new Held(0, Long.MIN_VALUE);
+    }
+  }
+
   /** Ranks whose seat is held now. */
   BitSet seats(long now) {
     seats.values().removeIf(held -> held.until() <= now);
--- a/src/main/java/brassbank/shares/SeatMessage.java
+++ b/src/main/java/brassbank/shares/SeatMessage.java
@@ -9,7 +9,8 @@
  * @param rank the sender's
  * @param of how many ranks there are by the sender's file
  * @param sequence ties an answer to its asking
- * @param seats ranks that have a seat with the sender; empty but in {@link Kind#HELD}
+ * @param seats ranks that have a seat with the sender, in {@link Kind#HELD}; who leaves, in {@link
+ *     Kind#OTHER_LEAVES}; else empty
  */
 public record SeatMessage(Kind kind, long process, int rank, int of, int sequence, BitSet seats) {
   /** Ranks that one fleet may have. */
@@ -24,7 +25,15 @@
     /** Another process of the asker's rank has its seat. */
     TAKEN,
     /** The sender has stopped spending with its seat. */
-    GIVE_BACK
+    GIVE_BACK,
+    /** Asks whether the sender may leave now, by operators' call. */
+    LEAVE,
+    /** Nobody else leaves, as far as this keeper knows, and the asker is let go. */
+    GO,
+    /** Another leaves: the one rank among the seats. */
+    OTHER_LEAVES,
+    /** The sender does not leave after all. */
+    STAYS
   }
 
   public SeatMessage {
--- a/src/main/java/brassbank/shares/SeatSettings.java
+++ b/src/main/java/brassbank/shares/SeatSettings.java
@@ -3,7 +3,8 @@
 /**
  * The figures of the rule; docs/shares.md has the reason of each. Times are microseconds.
  *
- * @param base part of each budget that goes by the file's numbers, whoever is there; 0 to 1
+ * @param base part of each budget that goes by the file's numbers, whoever is there; above 0, at
+ *     most 1: a proxy without a seat must be able to place something
  * @param period a seat is asked for this often
  * @param counts an answer counts for so long from when it was asked for (V)
  * @param holds a keeper holds a seat for so long from the asking's arrival (H)
@@ -16,8 +17,8 @@
   public static final double USUAL_BASE = 0.25;
 
   public SeatSettings {
-    if (!(base >= 0 && base <= 1)) {
-      throw new IllegalArgumentException("a base is from 0 to 1, not " + base);
+    if (!(base > 0 && base <= 1)) {
+      throw new IllegalArgumentException("a base is above 0 and at most 1, not " + base);
     }
     if (period <= 0 || counts < period || holds <= 0 || waits < 0) {
       throw new IllegalArgumentException("times that cannot be");
--- a/src/main/java/brassbank/shares/Seats.java
+++ b/src/main/java/brassbank/shares/Seats.java
@@ -34,6 +34,15 @@
   /** What each address said of its rank; those that are no keepers need not be asked. */
   private final Map<InetSocketAddress, Integer> ranks = new HashMap<>();
 
+  /** Who asks to leave waits so long for a majority. */
+  private static final long LEAVE_WITHIN = 700_000;
+
+  /** Whether it may leave; null where it does not ask. */
+  private Leave leave;
+
+  private int leaveSequence;
+  private long leaveAskedAt;
+  private final BitSet letGoBy = new BitSet();
   private long nextAsk;
   private int sequence;
   private boolean wanted;
@@ -103,6 +112,75 @@
     others.forEach(other -> out.send(other, message));
   }
 
+  /**
+   * Asks the fleet whether this process may leave now: one at a time does, and only while at least
+   * half of all ranks have a seat beside this one. {@link #leave(long)} tells what came of it.
+   */
+  public void askToLeave(long now, List<InetSocketAddress> others, SeatOutbox out) {
+    Part part = part(now);
+    if (part.seated() && 2 * (part.of() - 1) < of) {
+      leave = Leave.of(Leave.Answer.TOO_FEW);
+      return;
+    }
+    if (!part.seated()) {
+      leave = Leave.of(Leave.Answer.NOBODY_ANSWERS);
+      return;
+    }
+    leave = Leave.ASKED;
+    leaveAskedAt = now;
+    letGoBy.clear();
+    sequence = sequence == Integer.MAX_VALUE ? 1 : sequence + 1;
+    leaveSequence = sequence;
+    SeatMessage ask = message(Kind.LEAVE, leaveSequence, new BitSet());
+    others.forEach(other -> out.send(other, ask));
+    if (rank < MOST_KEEPERS && keeper.speaksOfLeaving(now)) {
+      if (keeper.letGo(now, rank, process)) {
+        letGo(rank);
+      } else {
+        leave = new Leave(Leave.Answer.OTHER_LEAVES, keeper.leaver());
+      }
+    }
+  }
+
+  private void letGo(int by) {
+    letGoBy.set(by);
+    if (letGoBy.cardinality() > Math.min(of, MOST_KEEPERS) / 2) {
+      leave = Leave.GO;
+    }
+  }
+
+  /**
+   * What came of the last {@link #askToLeave}; once it is no longer {@link Leave.Answer#ASKED} it
+   * is forgotten, and where it is no {@link Leave.Answer#GO}, the turn is given back.
+   */
+  public Leave leave(long now, List<InetSocketAddress> others, SeatOutbox out) {
+    Leave known = leave;
+    boolean asked = known == Leave.ASKED || known == Leave.GO;
+    if (asked && now - leaveAskedAt >= LEAVE_WITHIN) {
+      // Also where a majority has answered: this process may have been stopped meanwhile.
+      known = Leave.of(Leave.Answer.NOBODY_ANSWERS);
+    }
+    if (known == null || known == Leave.ASKED) {
+      return known;
+    }
+    leave = null;
+    if (known != Leave.GO) {
+      keeper.stays(process);
+      SeatMessage stays = message(Kind.STAYS, 0, new BitSet());
+      others.forEach(other -> out.send(other, stays));
+    }
+    return known;
+  }
+
+  /** Where this rank was last heard of, or null. */
+  public InetSocketAddress address(int of) {
+    return ranks.entrySet().stream()
+        .filter(entry -> entry.getValue() == of)
+        .map(Map.Entry::getKey)
+        .findAny()
+        .orElse(null);
+  }
+
   /** The process ends, or another of its rank goes on in its place. */
   public void close(long now, List<InetSocketAddress> others, SeatOutbox out) {
     if (wanted) {
@@ -128,10 +206,38 @@
         }
       }
       case TAKEN -> taken++;
+      case LEAVE -> askedToLeave(now, from, message, out);
+      case STAYS -> keeper.stays(message.process());
+      case GO -> {
+        if (asksToLeave(message) && message.rank() < MOST_KEEPERS) {
+          letGo(message.rank());
+        }
+      }
+      case OTHER_LEAVES -> {
+        if (asksToLeave(message) && message.seats().length() > 0) {
+          leave = new Leave(Leave.Answer.OTHER_LEAVES, message.seats().nextSetBit(0));
+        }
+      }
       default -> throw new IllegalStateException("no such kind: " + message.kind());
     }
   }
 
+  private boolean asksToLeave(SeatMessage answer) {
+    return leave == Leave.ASKED && answer.sequence() == leaveSequence;
+  }
+
+  private void askedToLeave(long now, InetSocketAddress from, SeatMessage message, SeatOutbox out) {
+    if (rank >= MOST_KEEPERS || !keeper.speaksOfLeaving(now)) {
+      return;
+    }
+    BitSet other = new BitSet();
+    boolean go = keeper.letGo(now, message.rank(), message.process());
+    if (!go) {
+      other.set(keeper.leaver());
+    }
+    out.send(from, message(go ? Kind.GO : Kind.OTHER_LEAVES, message.sequence(), other));
+  }
+
   private void asked(long now, InetSocketAddress from, SeatMessage message, SeatOutbox out) {
     if (rank >= MOST_KEEPERS) {
       // It learns from this that it need not ask here again.
--- a/src/main/java/brassbank/sim/check/Checks.java
+++ b/src/main/java/brassbank/sim/check/Checks.java
@@ -64,6 +64,11 @@
         new MembershipPace());
   }
 
+  /** Those that a fleet has besides whose proxies share its budgets. */
+  public static List<Rule> ofShares() {
+    return List.of(new OneLeaves());
+  }
+
   /**
    * The site's figures that rules need, in microseconds where they are times.
    *
--- a/src/main/java/brassbank/sim/event/Event.java
+++ b/src/main/java/brassbank/sim/event/Event.java
@@ -163,6 +163,9 @@
   /** An operator's call: it is to send its clients away, and to live on. */
   record ProxyOnStandby(String proxy) implements Event {}
 
+  /** An operator's call to leave was answered no, since others leave or too few are left. */
+  record ProxyPutOff(String proxy) implements Event {}
+
   /** An operator's call: it takes clients again. */
   record ProxyCalledBack(String proxy) implements Event {}
 
--- a/src/main/java/brassbank/sim/proxy/ProxyNode.java
+++ b/src/main/java/brassbank/sim/proxy/ProxyNode.java
@@ -438,9 +438,25 @@
     if (!serving()) {
       return;
     }
+    if (joining != null && joining.shares()) {
+      proxy.standby(
+          yes -> {
+            if (yes) {
+              away(awayFor);
+            } else {
+              world.tell(new Event.ProxyPutOff(name));
+            }
+          });
+      return;
+    }
+    away(awayFor);
+    proxy.standby();
+  }
+
+  /** Its clients are sent away from here on. */
+  private void away(long awayFor) {
     Program life = program;
     world.tell(new Event.ProxyOnStandby(name));
-    proxy.standby();
     world.front().stopping(name);
     world
         .agenda()
--- a/src/test/java/brassbank/management/RequestTest.java
+++ b/src/test/java/brassbank/management/RequestTest.java
@@ -37,7 +37,7 @@
     for (String line : text.split("~", -1)) {
       request.line(line);
     }
-    return request.reply(0, operators);
+    return request.reply(0, operators, later -> {});
   }
 
   @ParameterizedTest
@@ -75,11 +75,11 @@
     Request request = new Request();
     request.line("PUT /standby HTTP/1.1");
     request.line("Content-Length: 3");
-    assertThat(request.reply(3, operators)).as("the head has not ended").isNull();
+    assertThat(request.reply(3, operators, later -> {})).as("the head has not ended").isNull();
     request.line("");
-    assertThat(request.reply(2, operators)).as("a byte is missing").isNull();
+    assertThat(request.reply(2, operators, later -> {})).as("a byte is missing").isNull();
     assertThat(asked).isEmpty();
-    assertThat(request.reply(3, operators).status()).isEqualTo(200);
+    assertThat(request.reply(3, operators, later -> {}).status()).isEqualTo(200);
   }
 
   @Test
@@ -90,7 +90,7 @@
       assertThat(i).isLessThan(Request.MOST_LINES);
       request.line("a: b");
     }
-    assertThat(request.reply(0, operators).status()).isEqualTo(431);
+    assertThat(request.reply(0, operators, later -> {}).status()).isEqualTo(431);
   }
 
   @Test
--- a/src/test/java/brassbank/shares/SeatsTest.java
+++ b/src/test/java/brassbank/shares/SeatsTest.java
@@ -307,6 +307,92 @@
     assertThat(weather.most).isLessThanOrEqualTo(1 + 1e-9);
   }
 
+  private static Leave asked(Weather weather, int process) {
+    return weather.processes[process].leave(
+        weather.now, weather.others(process), weather.from(process));
+  }
+
+  private static void ask(Weather weather, int process) {
+    weather.processes[process].askToLeave(
+        weather.now, weather.others(process), weather.from(process));
+  }
+
+  @Test
+  void oneLeavesAtATimeAndIsToldOfOnlyWhileItDoes() throws Exception {
+    Weather weather = new Weather(1, 5, USUAL);
+    weather.calm(10 * SECOND);
+    ask(weather, 1);
+    weather.calm(SECOND / 10);
+    assertThat(asked(weather, 1)).isEqualTo(Leave.GO);
+    weather.wants[1] = false;
+    ask(weather, 3);
+    weather.calm(SECOND / 10);
+    assertThat(asked(weather, 3)).isEqualTo(new Leave(Leave.Answer.OTHER_LEAVES, 1));
+    weather.calm(5 * SECOND);
+    ask(weather, 3);
+    weather.calm(SECOND / 10);
+    assertThat(asked(weather, 3)).isEqualTo(Leave.GO);
+  }
+
+  @Test
+  void nobodyLeavesWhereTooFewCouldCarryIt() throws Exception {
+    Weather weather = new Weather(1, 5, USUAL);
+    weather.dead[3] = true;
+    weather.dead[4] = true;
+    weather.calm(10 * SECOND);
+    ask(weather, 0);
+    assertThat(asked(weather, 0).answer()).isEqualTo(Leave.Answer.TOO_FEW);
+    weather.dead[2] = true;
+    weather.calm(5 * SECOND);
+    ask(weather, 0);
+    assertThat(asked(weather, 0).answer()).isEqualTo(Leave.Answer.NOBODY_ANSWERS);
+  }
+
+  /** It hears the others only after it has gone on, when the turn may be another's. */
+  @Test
+  void whoIsStoppedWhileItAsksDoesNotLeaveAfterwards() throws Exception {
+    Weather weather = new Weather(1, 5, USUAL);
+    weather.calm(10 * SECOND);
+    ask(weather, 1);
+    weather.away[1] = weather.now + 10 * SECOND;
+    weather.calm(9 * SECOND);
+    ask(weather, 2);
+    weather.calm(SECOND / 10);
+    assertThat(asked(weather, 2)).isEqualTo(Leave.GO);
+    weather.calm(2 * SECOND);
+    assertThat(asked(weather, 1).answer()).isEqualTo(Leave.Answer.NOBODY_ANSWERS);
+  }
+
+  /** In any weather two that are let go are at least as far apart as a leaving takes. */
+  @Test
+  void twoThatAreLetGoAreFourSecondsApartInAnyWeather() throws Exception {
+    int let = 0;
+    for (int seed = 1; seed <= 40; seed++) {
+      Weather weather = new Weather(seed, 5, USUAL);
+      long last = 0;
+      int leaver = -1;
+      while (weather.now < 127 * SECOND) {
+        weather.step();
+        int i = weather.random.nextInt(5);
+        if (!weather.dead[i] && weather.away[i] <= weather.now) {
+          Leave leave = asked(weather, i);
+          if (leave == null && weather.random.nextInt(100) == 0) {
+            ask(weather, i);
+          } else if (leave == Leave.GO) {
+            // One that is let go may ask again: the turn is its own.
+            if (i != leaver) {
+              assertThat(weather.now - last).isGreaterThan(4 * SECOND);
+            }
+            last = weather.now;
+            leaver = i;
+            let++;
+          }
+        }
+      }
+    }
+    assertThat(let).isGreaterThan(10);
+  }
+
   /** Whatever comes is read or refused, and nothing that is read is beyond its bounds. */
   @Test
   void readsAnythingWithoutFailing() {
--- a/src/test/java/brassbank/sim/SharesTest.java
+++ b/src/test/java/brassbank/sim/SharesTest.java
@@ -5,6 +5,7 @@
 import brassbank.net.Network;
 import brassbank.shares.SeatMessage;
 import brassbank.sim.check.Breach;
+import brassbank.sim.event.Event;
 import brassbank.sim.fault.Plan;
 import brassbank.sim.fault.Script;
 import brassbank.sim.members.SpoiledSeats;
@@ -103,4 +104,56 @@
         .extracting(Breach::rule)
         .contains("a cold host's places, of all proxies together");
   }
+
+  private static List<String> away(List<String> events, UnaryOperator<Network> wrapping)
+      throws Exception {
+    Run run = new Run(Script.read(SCRIPTS.resolve("two-are-sent-away-at-once.toml")), wrapping);
+    run.trace()
+        .listen(
+            (now, event) -> {
+              if (event instanceof Event.ProxyOnStandby || event instanceof Event.ProxyPutOff) {
+                events.add(event.text());
+              }
+            });
+    return run.go().breaches().stream().map(Breach::rule).toList();
+  }
+
+  @Test
+  void oneProxyAtATimeLeavesByOperatorsCalls() throws Exception {
+    List<String> events = new ArrayList<>();
+    assertThat(away(events, UnaryOperator.identity())).isEmpty();
+    assertThat(events)
+        .containsExactly(
+            "proxy-on-standby proxy=n1", "proxy-put-off proxy=n3", "proxy-put-off proxy=n4");
+  }
+
+  /** Keepers that let everybody go. */
+  @Test
+  void catchesTwoOwnersOfOneTurn() throws Exception {
+    assertThat(
+            away(
+                new ArrayList<>(),
+                real ->
+                    new SpoiledSeats(real, "simulated") {
+                      @Override
+                      protected SeatMessage taken(SeatMessage message) {
+                        return message.kind() == SeatMessage.Kind.LEAVE ? null : message;
+                      }
+
+                      @Override
+                      protected SeatMessage forged(InetSocketAddress to, SeatMessage sent) {
+                        int rank = to.getAddress().getAddress()[3] - 1;
+                        return sent.kind() != SeatMessage.Kind.LEAVE
+                            ? null
+                            : new SeatMessage(
+                                SeatMessage.Kind.GO,
+                                rank + 7,
+                                rank,
+                                sent.of(),
+                                sent.sequence(),
+                                new BitSet());
+                      }
+                    }))
+        .contains("one at a time leaves by operators' calls");
+  }
 }
