Rule on cold hosts' places only where proxies share, so that the older rule is still seen to break

Cause: a play ends at its first breach, and the new rule was broken before the one on a host that falls over in two of its planted bugs (catchesAColdHostsBudgetWithoutABound, NEWEST_FLOODED), whose tests then found only the new one. So the new one is as sharp; it is kept where shares are on, and the tests of the older rule are as they were.

--- a/src/main/java/brassbank/sim/Scene.java
+++ b/src/main/java/brassbank/sim/Scene.java
@@ -111,7 +111,7 @@
     List<Rule> rules = new ArrayList<>(Checks.all(figures));
     if (plan.membership()) {
       rules.addAll(Checks.ofMembership(figures));
-      rules.addAll(plan.shares() ? Checks.ofShares() : List.of());
+      rules.addAll(plan.shares() ? Checks.ofShares(figures) : List.of());
       joined = new Joined(fabric, proxies);
     } else {
       joined = null;
--- a/src/main/java/brassbank/sim/check/ColdPlaces.java
+++ b/src/main/java/brassbank/sim/check/ColdPlaces.java
@@ -10,7 +10,7 @@
 final class ColdPlaces extends Rule {
   /**
    * What proxies take the host's budget for, over what the host knows it to be: they guess how long
-   * sessions live and how much they ask. Seen, less one for each proxy: 1.4 where clients came
+   * sessions live and how much they ask. Seen, less one for each proxy: 1.3 where clients came
    * three times as fast as hosts could take them; with a budget that each takes for his own, 3.4.
    */
   private static final double GUESSED = 2;
