Shares: what is given back late takes nothing that was asked for again

Cause: GIVE_BACK and STAYS named no asking, so that one that came late or twice freed a seat, or the turn to leave, which the same process had meanwhile taken again; the bound rests on a keeper holding both. Found in reading; two tests fail without the change.

Change: both name the last asking, and a keeper takes back no later one. Besides, from the same reading: the asking for the turn is a class of its own, with one place for its answer; both codecs share the fleet's number and the checksum; the experiment has no listener of progress that did nothing; a put-off call has a test at the management's request.

--- a/src/main/java/brassbank/fleet/Sharing.java
+++ b/src/main/java/brassbank/fleet/Sharing.java
@@ -78,16 +78,17 @@
       return;
     }
     leaving = then;
-    seats.askToLeave(now, others(view), outbox);
-    leave(now, view);
+    answer(seats.askToLeave(now, others(view), outbox), view);
   }
 
   private void leave(long now, View view) {
-    if (leaving == null) {
-      return;
+    if (leaving != null) {
+      answer(seats.leave(now, others(view), outbox), view);
     }
-    Leave known = seats.leave(now, others(view), outbox);
-    if (known != null && known.answer() != Leave.Answer.ASKED) {
+  }
+
+  private void answer(Leave known, View view) {
+    if (known.answer() != Leave.Answer.ASKED) {
       Consumer<String> then = leaving;
       leaving = null;
       then.accept(text(known, view));
--- a/src/main/java/brassbank/membership/wire/Codec.java
+++ b/src/main/java/brassbank/membership/wire/Codec.java
@@ -13,7 +13,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.zip.CRC32C;
 
 /** Writes and reads the datagrams of one fleet. Any thread may use one codec. */
 public final class Codec {
@@ -35,16 +34,7 @@
    * @param fleet the fleet's name; what comes from another one is dropped
    */
   public Codec(String fleet) {
-    this.fleet = number(fleet);
-  }
-
-  /** FNV-1a, 64 bits, over the name's UTF-8. */
-  private static long number(String name) {
-    long hash = 0xcbf29ce484222325L;
-    for (byte b : name.getBytes(StandardCharsets.UTF_8)) {
-      hash = (hash ^ (b & 0xff)) * 0x100000001b3L;
-    }
-    return hash;
+    this.fleet = Frame.fleet(fleet);
   }
 
   /** The bytes of a message; throws IllegalArgumentException where they are too many. */
@@ -57,7 +47,7 @@
       to.put((byte) message.updates().size());
       update(to, message.sender());
       message.updates().forEach(one -> update(to, one));
-      to.putInt(checksum(to.array(), to.position()));
+      to.putInt(Frame.checksum(to.array(), to.position()));
     } catch (java.nio.BufferOverflowException e) {
       throw new IllegalArgumentException("a message of more than " + Message.MOST_BYTES, e);
     }
@@ -85,12 +75,6 @@
     text(to, update.by());
   }
 
-  private static int checksum(byte[] bytes, int length) {
-    CRC32C sum = new CRC32C();
-    sum.update(bytes, 0, length);
-    return (int) sum.getValue();
-  }
-
   /** The message in a datagram, all of whose fields are within their bounds. */
   public Message read(byte[] bytes) throws RefusedException {
     ByteBuffer from = ByteBuffer.wrap(bytes);
@@ -100,7 +84,7 @@
       throw new RefusedException(Refused.FOREIGN, bytes.length + " bytes that are no message");
     }
     int end = bytes.length - CHECKSUM;
-    if (from.getInt(end) != checksum(bytes, end)) {
+    if (from.getInt(end) != Frame.checksum(bytes, end)) {
       throw new RefusedException(Refused.DAMAGED, "cut off or damaged");
     }
     byte version = from.get();
--- a/src/main/java/brassbank/shares/Keeper.java
+++ b/src/main/java/brassbank/shares/Keeper.java
@@ -5,84 +5,99 @@
 import java.util.Map;
 
 /**
- * Holds the seats of others: one for each rank, for one process at a time, until some time after it
- * was last asked for. A keeper that has just started says nothing, since it does not know what its
- * predecessor of the same rank has said.
+ * Holds the seats of others, one for each rank, and the one turn to leave: each for one process at
+ * a time, until some time after it was last asked for. A keeper that has just started says nothing,
+ * since it does not know what its predecessor of the same rank has said.
+ *
+ * <p>What a process gives back counts only against what it had asked for by then: a datagram that
+ * comes late must not take away what it has meanwhile asked for again.
  *
  * <p>Times are microseconds. A call costs as much as there are seats. For one thread at a time.
  */
 final class Keeper {
-  private record Held(long process, long until) {}
-
   /**
    * Who is let go has the turn for so long from its asking's arrival: longer than it may wait for
    * the others' answers, and then take to send its clients away (4 s).
    */
   static final long LEAVING = 5_000_000;
 
+  /** What a process has, and its last asking for it. */
+  private record Held(int rank, long process, int sequence, long until) {
+    boolean by(long other) {
+      return process == other;
+    }
+
+    boolean asked(long by, int before) {
+      return process == by && sequence <= before;
+    }
+  }
+
   private final long holds;
-  private final long silentUntil;
-  private final long silentOnLeaving;
-  private int leaver;
-  private Held leaving = new Held(0, Long.MIN_VALUE);
+  private final long startedAt;
   private final Map<Integer, Held> seats = new HashMap<>();
 
+  /** Who has the turn to leave, or had it last; null while nobody has asked. */
+  private Held leaving;
+
   Keeper(long holds, long now) {
     this.holds = holds;
-    silentUntil = now + holds;
-    silentOnLeaving = now + LEAVING;
+    startedAt = now;
   }
 
-  /** Whether it speaks yet. */
+  /** Whether it speaks of seats yet. */
   boolean speaks(long now) {
-    return now >= silentUntil;
+    return now - startedAt >= holds;
   }
 
-  /** Holds the rank's seat for the process from now on; false where another one has it. */
-  boolean hold(long now, int rank, long process) {
-    Held held = seats.get(rank);
-    if (held != null && held.until() > now && held.process() != process) {
-      return false;
-    }
-    seats.put(rank, new Held(process, now + holds));
-    return true;
+  /** Whether it says yet who may leave. */
+  boolean speaksOfLeaving(long now) {
+    return now - startedAt >= LEAVING;
   }
 
-  /** The process has stopped spending with the rank's seat. */
-  void giveBack(int rank, long process) {
-    Held held = seats.get(rank);
-    if (held != null && held.process() == process) {
-      seats.remove(rank);
+  /** Holds the rank's seat for the process from now on; false where another one has it. */
+  boolean hold(long now, int rank, long process, int sequence) {
+    Held next = next(seats.get(rank), now, rank, process, sequence, holds);
+    if (next != null) {
+      seats.put(rank, next);
     }
+    return next != null;
   }
 
-  /** Whether it says who may leave yet. */
-  boolean speaksOfLeaving(long now) {
-    return now >= silentOnLeaving;
+  /** Lets the process go; false where another has the turn, which is {@link #leaver} then. */
+  boolean letGo(long now, int rank, long process, int sequence) {
+    Held next = next(leaving, now, rank, process, sequence, LEAVING);
+    leaving = next == null ? leaving : next;
+    return next != null;
   }
 
-  /** Lets the process go; false where another has the turn, which is {@link #leaver} then. */
-  boolean letGo(long now, int rank, long process) {
-    if (leaving.until() > now && leaving.process() != process) {
-      return false;
+  private static Held next(Held held, long now, int rank, long process, int sequence, long length) {
+    if (held != null && held.until() > now && !held.by(process)) {
+      return null;
     }
-    leaver = rank;
-    leaving = new Held(process, now + LEAVING);
-    return true;
+    int last = held != null && held.by(process) ? Math.max(held.sequence(), sequence) : sequence;
+    return new Held(rank, process, last, now + length);
   }
 
-  /** The rank that was let go last. */
-  int leaver() {
-    return leaver;
+  /** The process has stopped spending with the seat that it had asked for by then. */
+  void giveBack(int rank, long process, int sequence) {
+    Held held = seats.get(rank);
+    if (held != null && held.asked(process, sequence)) {
+      seats.remove(rank);
+    }
   }
 
-  /** The process does not leave after all. */
-  void stays(long process) {
-    if (leaving.process() == process) {
-      leaving = new Held(0, Long.MIN_VALUE);
+  /** The process does not leave by the turn that it had asked for by then. */
+  void stays(long process, int sequence) {
+    if (leaving != null && leaving.asked(process, sequence)) {
+      leaving = null;
     }
   }
 
+  /** The rank that has the turn to leave, or had it last; somebody must have. */
+  int leaver() {
+    return leaving.rank();
+  }
+
   /** Ranks whose seat is held now. */
   BitSet seats(long now) {
     seats.values().removeIf(held -> held.until() <= now);
--- a/src/main/java/brassbank/shares/Seats.java
+++ b/src/main/java/brassbank/shares/Seats.java
@@ -34,15 +34,9 @@
   /** What each address said of its rank; those that are no keepers need not be asked. */
   private final Map<InetSocketAddress, Integer> ranks = new HashMap<>();
 
-  /** Who asks to leave waits so long for a majority. */
-  private static final long LEAVE_WITHIN = 700_000;
+  /** The asking to leave that is under way, or null. */
+  private Turn turn;
 
-  /** Whether it may leave; null where it does not ask. */
-  private Leave leave;
-
-  private int leaveSequence;
-  private long leaveAskedAt;
-  private final BitSet letGoBy = new BitSet();
   private long nextAsk;
   private int sequence;
   private boolean wanted;
@@ -63,7 +57,7 @@
     this.of = of;
     this.process = process;
     keeper = new Keeper(settings.holds(), now);
-    seat = new Seat(settings, Math.min(of, MOST_KEEPERS));
+    seat = new Seat(settings, keepers());
     nextAsk = now;
   }
 
@@ -82,8 +76,7 @@
       return;
     }
     nextAsk = now + settings.period();
-    sequence = sequence == Integer.MAX_VALUE ? 1 : sequence + 1;
-    asked.addLast(new Asked(sequence, now));
+    asked.addLast(new Asked(next(), now));
     if (asked.size() > REMEMBERED) {
       asked.removeFirst();
     }
@@ -94,11 +87,19 @@
         out.send(other, ask);
       }
     }
-    if (rank < MOST_KEEPERS && keeper.speaks(now) && keeper.hold(now, rank, process)) {
+    if (rank < MOST_KEEPERS && keeper.speaks(now) && keeper.hold(now, rank, process, sequence)) {
       seat.held(now, rank, process, now, keeper.seats(now));
     }
   }
 
+  private int next() {
+    return ++sequence;
+  }
+
+  private int keepers() {
+    return Math.min(of, MOST_KEEPERS);
+  }
+
   private SeatMessage message(Kind kind, int sequence, BitSet seats) {
     return new SeatMessage(kind, process, rank, of, sequence, seats);
   }
@@ -107,68 +108,54 @@
   private void giveBack(long now, List<InetSocketAddress> others, SeatOutbox out) {
     seat.drop();
     asked.clear();
-    keeper.giveBack(rank, process);
-    SeatMessage message = message(Kind.GIVE_BACK, 0, new BitSet());
+    keeper.giveBack(rank, process, sequence);
+    SeatMessage message = message(Kind.GIVE_BACK, sequence, new BitSet());
     others.forEach(other -> out.send(other, message));
   }
 
   /**
    * Asks the fleet whether this process may leave now: one at a time does, and only while at least
-   * half of all ranks have a seat beside this one. {@link #leave(long)} tells what came of it.
+   * half of all ranks have a seat beside this one.
+   *
+   * @return what is known at once; while that is {@link Leave.Answer#ASKED}, {@link #leave} tells
+   *     what has come of it
    */
-  public void askToLeave(long now, List<InetSocketAddress> others, SeatOutbox out) {
+  public Leave askToLeave(long now, List<InetSocketAddress> others, SeatOutbox out) {
     Part part = part(now);
-    if (part.seated() && 2 * (part.of() - 1) < of) {
-      leave = Leave.of(Leave.Answer.TOO_FEW);
-      return;
-    }
     if (!part.seated()) {
-      leave = Leave.of(Leave.Answer.NOBODY_ANSWERS);
-      return;
+      return Leave.of(Leave.Answer.NOBODY_ANSWERS);
+    } else if (2 * (part.of() - 1) < of) {
+      return Leave.of(Leave.Answer.TOO_FEW);
     }
-    leave = Leave.ASKED;
-    leaveAskedAt = now;
-    letGoBy.clear();
-    sequence = sequence == Integer.MAX_VALUE ? 1 : sequence + 1;
-    leaveSequence = sequence;
-    SeatMessage ask = message(Kind.LEAVE, leaveSequence, new BitSet());
+    turn = new Turn(keepers() / 2 + 1, next(), now);
+    SeatMessage ask = message(Kind.LEAVE, turn.sequence(), new BitSet());
     others.forEach(other -> out.send(other, ask));
     if (rank < MOST_KEEPERS && keeper.speaksOfLeaving(now)) {
-      if (keeper.letGo(now, rank, process)) {
-        letGo(rank);
+      if (keeper.letGo(now, rank, process, turn.sequence())) {
+        turn.go(rank);
       } else {
-        leave = new Leave(Leave.Answer.OTHER_LEAVES, keeper.leaver());
+        turn.otherLeaves(keeper.leaver());
       }
     }
-  }
-
-  private void letGo(int by) {
-    letGoBy.set(by);
-    if (letGoBy.cardinality() > Math.min(of, MOST_KEEPERS) / 2) {
-      leave = Leave.GO;
-    }
+    return leave(now, others, out);
   }
 
   /**
-   * What came of the last {@link #askToLeave}; once it is no longer {@link Leave.Answer#ASKED} it
-   * is forgotten, and where it is no {@link Leave.Answer#GO}, the turn is given back.
+   * What has come of {@link #askToLeave}, or null where nothing was asked. Once it is no longer
+   * {@link Leave.Answer#ASKED} it is forgotten, and where it is no {@link Leave.Answer#GO}, the
+   * turn is given back.
    */
   public Leave leave(long now, List<InetSocketAddress> others, SeatOutbox out) {
-    Leave known = leave;
-    boolean asked = known == Leave.ASKED || known == Leave.GO;
-    if (asked && now - leaveAskedAt >= LEAVE_WITHIN) {
-      // Also where a majority has answered: this process may have been stopped meanwhile.
-      known = Leave.of(Leave.Answer.NOBODY_ANSWERS);
-    }
+    Leave known = turn == null ? null : turn.leave(now);
     if (known == null || known == Leave.ASKED) {
       return known;
     }
-    leave = null;
     if (known != Leave.GO) {
-      keeper.stays(process);
-      SeatMessage stays = message(Kind.STAYS, 0, new BitSet());
+      keeper.stays(process, turn.sequence());
+      SeatMessage stays = message(Kind.STAYS, turn.sequence(), new BitSet());
       others.forEach(other -> out.send(other, stays));
     }
+    turn = null;
     return known;
   }
 
@@ -198,7 +185,7 @@
     ranks.put(from, message.rank());
     switch (message.kind()) {
       case ASK -> asked(now, from, message, out);
-      case GIVE_BACK -> keeper.giveBack(message.rank(), message.process());
+      case GIVE_BACK -> keeper.giveBack(message.rank(), message.process(), message.sequence());
       case HELD -> {
         Asked mine = asked(message.sequence());
         if (mine != null && message.rank() < MOST_KEEPERS && message.seats().get(rank)) {
@@ -207,23 +194,24 @@
       }
       case TAKEN -> taken++;
       case LEAVE -> askedToLeave(now, from, message, out);
-      case STAYS -> keeper.stays(message.process());
+      case STAYS -> keeper.stays(message.process(), message.sequence());
       case GO -> {
-        if (asksToLeave(message) && message.rank() < MOST_KEEPERS) {
-          letGo(message.rank());
+        if (answers(message) && message.rank() < MOST_KEEPERS) {
+          turn.go(message.rank());
         }
       }
       case OTHER_LEAVES -> {
-        if (asksToLeave(message) && message.seats().length() > 0) {
-          leave = new Leave(Leave.Answer.OTHER_LEAVES, message.seats().nextSetBit(0));
+        if (answers(message) && !message.seats().isEmpty()) {
+          turn.otherLeaves(message.seats().nextSetBit(0));
         }
       }
       default -> throw new IllegalStateException("no such kind: " + message.kind());
     }
   }
 
-  private boolean asksToLeave(SeatMessage answer) {
-    return leave == Leave.ASKED && answer.sequence() == leaveSequence;
+  /** Whether it answers the asking to leave that is under way. */
+  private boolean answers(SeatMessage message) {
+    return turn != null && message.sequence() == turn.sequence();
   }
 
   private void askedToLeave(long now, InetSocketAddress from, SeatMessage message, SeatOutbox out) {
@@ -231,7 +219,7 @@
       return;
     }
     BitSet other = new BitSet();
-    boolean go = keeper.letGo(now, message.rank(), message.process());
+    boolean go = keeper.letGo(now, message.rank(), message.process(), message.sequence());
     if (!go) {
       other.set(keeper.leaver());
     }
@@ -243,7 +231,7 @@
       // It learns from this that it need not ask here again.
       out.send(from, message(Kind.TAKEN, message.sequence(), new BitSet()));
     } else if (keeper.speaks(now)) {
-      boolean held = keeper.hold(now, message.rank(), message.process());
+      boolean held = keeper.hold(now, message.rank(), message.process(), message.sequence());
       out.send(
           from,
           held
--- a/src/main/java/brassbank/shares/wire/SeatCodec.java
+++ b/src/main/java/brassbank/shares/wire/SeatCodec.java
@@ -1,13 +1,12 @@
 package brassbank.shares.wire;
 
+import brassbank.membership.wire.Frame;
 import brassbank.membership.wire.Refused;
 import brassbank.membership.wire.RefusedException;
 import brassbank.shares.SeatMessage;
 import java.nio.BufferUnderflowException;
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.util.BitSet;
-import java.util.zip.CRC32C;
 
 /**
  * Writes and reads what one fleet says of seats. Big-endian: mark {@code B5A8}, version, kind; the
@@ -25,11 +24,7 @@
   private final long fleet;
 
   public SeatCodec(String fleet) {
-    long hash = 0xcbf29ce484222325L;
-    for (byte b : fleet.getBytes(StandardCharsets.UTF_8)) {
-      hash = (hash ^ (b & 0xff)) * 0x100000001b3L;
-    }
-    this.fleet = hash;
+    this.fleet = Frame.fleet(fleet);
   }
 
   /** Whether a datagram is meant to be one of these. */
@@ -43,16 +38,10 @@
     to.putShort(MARK).put(VERSION).put((byte) message.kind().ordinal()).putLong(fleet);
     to.putLong(message.process()).putShort((short) message.rank()).putShort((short) message.of());
     to.putInt(message.sequence()).put((byte) seats.length).put(seats);
-    to.putInt(checksum(to.array(), to.position()));
+    to.putInt(Frame.checksum(to.array(), to.position()));
     return to.array();
   }
 
-  private static int checksum(byte[] bytes, int length) {
-    CRC32C sum = new CRC32C();
-    sum.update(bytes, 0, length);
-    return (int) sum.getValue();
-  }
-
   /** The message in a datagram that is {@link #marked}, all of whose fields are within bounds. */
   public SeatMessage read(byte[] bytes) throws RefusedException {
     int end = bytes.length - CHECKSUM;
@@ -60,7 +49,7 @@
     if (end < FIXED || end > FIXED + MOST_SEATS || from.getShort() != MARK) {
       throw new RefusedException(Refused.FOREIGN, bytes.length + " bytes that are no message");
     }
-    if (from.getInt(end) != checksum(bytes, end)) {
+    if (from.getInt(end) != Frame.checksum(bytes, end)) {
       throw new RefusedException(Refused.DAMAGED, "cut off or damaged");
     }
     byte version = from.get();
--- a/src/main/java/brassbank/sim/cli/ExperimentCommand.java
+++ b/src/main/java/brassbank/sim/cli/ExperimentCommand.java
@@ -122,7 +122,7 @@
       }
     }
     Map<Variant, List<Map<Figure, Double>>> results =
-        new Experiment(this::plan, jobs, done -> {}).run(variants, range.first(), range.last());
+        new Experiment(this::plan, jobs).run(variants, range.first(), range.last());
     output.print(json ? json(range, results) : csv ? csv(range, results) : table(range, results));
     return Exit.OK;
   }
@@ -229,6 +229,7 @@
           one.addProperty("variant", variant.text());
           for (Figure figure : Figure.values()) {
             JsonObject told = new JsonObject();
+            told.addProperty("about", figure.about());
             told.addProperty("mean", mean(plays, figure));
             if (variant != base && plays.size() > 1) {
               Paired paired = Paired.of(values(results.get(base), figure), values(plays, figure));
--- a/src/main/java/brassbank/sim/experiment/Experiment.java
+++ b/src/main/java/brassbank/sim/experiment/Experiment.java
@@ -11,23 +11,20 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.function.BiFunction;
-import java.util.function.Consumer;
 import java.util.function.UnaryOperator;
 
 /** Plays variants on the same seeds, several plays at once, each on one thread. */
 public final class Experiment {
   private final BiFunction<Variant, Long, Plan> plans;
   private final int jobs;
-  private final Consumer<Integer> progress;
 
   /**
    * @param plans the plan of a variant and a seed
-   * @param progress hears, on any thread, how many plays are over
+   * @param jobs plays at once
    */
-  public Experiment(BiFunction<Variant, Long, Plan> plans, int jobs, Consumer<Integer> progress) {
+  public Experiment(BiFunction<Variant, Long, Plan> plans, int jobs) {
     this.plans = plans;
     this.jobs = jobs;
-    this.progress = progress;
   }
 
   /** The figures of each variant, by the seeds' order. */
@@ -37,20 +34,10 @@
     try {
       Map<Variant, List<Future<Map<Figure, Double>>>> under = new LinkedHashMap<>();
       variants.forEach(variant -> under.put(variant, new ArrayList<>()));
-      java.util.concurrent.atomic.AtomicInteger over =
-          new java.util.concurrent.atomic.AtomicInteger();
       for (long seed = first; seed <= last; seed++) {
         for (Variant variant : variants) {
           Plan plan = plans.apply(variant, seed);
-          under
-              .get(variant)
-              .add(
-                  workers.submit(
-                      () -> {
-                        Map<Figure, Double> figures = play(plan);
-                        progress.accept(over.incrementAndGet());
-                        return figures;
-                      }));
+          under.get(variant).add(workers.submit(() -> play(plan)));
         }
       }
       Map<Variant, List<Map<Figure, Double>>> results = new LinkedHashMap<>();
--- a/src/test/java/brassbank/management/RequestTest.java
+++ b/src/test/java/brassbank/management/RequestTest.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -99,4 +100,42 @@
     int content = lines.indexOf("\r\n\r\n") + 4;
     assertThat(lines).contains("\r\nContent-Length: " + (lines.length() - content) + "\r\n");
   }
+
+  /** A fleet is asked first: nothing is answered until it has said something. */
+  @Test
+  void standbyIsAnsweredOnceTheOthersHaveSaidWhetherItMay() {
+    List<Consumer<Operators.Answer>> asked = new ArrayList<>();
+    Operators fleet =
+        new Operators() {
+          @Override
+          public Answer status() {
+            return new Answer(true, "");
+          }
+
+          @Override
+          public Answer standby() {
+            throw new AssertionError("the others are asked first");
+          }
+
+          @Override
+          public boolean standby(Consumer<Answer> then) {
+            asked.add(then);
+            return true;
+          }
+
+          @Override
+          public Answer active() {
+            return new Answer(true, "");
+          }
+        };
+    Request request = new Request();
+    request.line("PUT /standby HTTP/1.1");
+    request.line("");
+    List<Reply> later = new ArrayList<>();
+    assertThat(request.reply(0, fleet, later::add)).isNull();
+    assertThat(request.reply(0, fleet, later::add)).as("more bytes have come").isNull();
+    assertThat(asked).hasSize(1);
+    asked.get(0).accept(new Operators.Answer(false, "put off: n3 leaves"));
+    assertThat(later).containsExactly(new Reply(409, "put off: n3 leaves"));
+  }
 }
--- a/src/test/java/brassbank/shares/SeatsTest.java
+++ b/src/test/java/brassbank/shares/SeatsTest.java
@@ -239,7 +239,7 @@
 
   private static void ask(Seat seat, int rank, int keeper, Keeper[] keepers, long millis) {
     long now = millis * MILLI;
-    assertThat(keepers[keeper].hold(now, rank, rank)).isTrue();
+    assertThat(keepers[keeper].hold(now, rank, rank, 1)).isTrue();
     seat.held(now, keeper, keeper, now, keepers[keeper].seats(now));
   }
 
@@ -312,8 +312,8 @@
         weather.now, weather.others(process), weather.from(process));
   }
 
-  private static void ask(Weather weather, int process) {
-    weather.processes[process].askToLeave(
+  private static Leave ask(Weather weather, int process) {
+    return weather.processes[process].askToLeave(
         weather.now, weather.others(process), weather.from(process));
   }
 
@@ -325,9 +325,7 @@
     weather.calm(SECOND / 10);
     assertThat(asked(weather, 1)).isEqualTo(Leave.GO);
     weather.wants[1] = false;
-    ask(weather, 3);
-    weather.calm(SECOND / 10);
-    assertThat(asked(weather, 3)).isEqualTo(new Leave(Leave.Answer.OTHER_LEAVES, 1));
+    assertThat(ask(weather, 3)).isEqualTo(new Leave(Leave.Answer.OTHER_LEAVES, 1));
     weather.calm(5 * SECOND);
     ask(weather, 3);
     weather.calm(SECOND / 10);
@@ -340,12 +338,10 @@
     weather.dead[3] = true;
     weather.dead[4] = true;
     weather.calm(10 * SECOND);
-    ask(weather, 0);
-    assertThat(asked(weather, 0).answer()).isEqualTo(Leave.Answer.TOO_FEW);
+    assertThat(ask(weather, 0).answer()).isEqualTo(Leave.Answer.TOO_FEW);
     weather.dead[2] = true;
     weather.calm(5 * SECOND);
-    ask(weather, 0);
-    assertThat(asked(weather, 0).answer()).isEqualTo(Leave.Answer.NOBODY_ANSWERS);
+    assertThat(ask(weather, 0).answer()).isEqualTo(Leave.Answer.NOBODY_ANSWERS);
   }
 
   /** It hears the others only after it has gone on, when the turn may be another's. */
@@ -393,6 +389,61 @@
     assertThat(let).isGreaterThan(10);
   }
 
+  /** What a keeper of rank 0 answers to one of rank 2, after these have come to it from rank 1. */
+  private static SeatMessage answered(SeatMessage.Kind asks, SeatMessage.Kind... came)
+      throws Exception {
+    long now = 20 * SECOND;
+    Seats keeper = new Seats(USUAL, 0, 5, 70, now - 10 * SECOND);
+    InetSocketAddress one =
+        new InetSocketAddress(InetAddress.getByAddress(new byte[] {10, 0, 0, 2}), 7070);
+    InetSocketAddress other =
+        new InetSocketAddress(InetAddress.getByAddress(new byte[] {10, 0, 0, 3}), 7070);
+    List<SeatMessage> said = new ArrayList<>();
+    // The first asks and gives back, and then asks anew; what it gave back comes once more, late.
+    int[] sequences = {3, 3, 4, 3};
+    for (int i = 0; i < came.length; i++) {
+      keeper.receive(
+          now + i,
+          one,
+          new SeatMessage(came[i], 71, 1, 5, sequences[i], new BitSet()),
+          (to, message) -> {});
+    }
+    keeper.receive(
+        now + came.length,
+        other,
+        new SeatMessage(asks, 72, 2, 5, 9, new BitSet()),
+        (to, message) -> said.add(message));
+    return said.get(0);
+  }
+
+  @Test
+  void aSeatThatIsTakenAgainIsNotGivenBackByALateDatagram() throws Exception {
+    SeatMessage answer =
+        answered(
+            SeatMessage.Kind.ASK,
+            SeatMessage.Kind.ASK,
+            SeatMessage.Kind.GIVE_BACK,
+            SeatMessage.Kind.ASK,
+            SeatMessage.Kind.GIVE_BACK);
+    assertThat(answer.seats().get(1)).isTrue();
+    answer = answered(SeatMessage.Kind.ASK, SeatMessage.Kind.ASK, SeatMessage.Kind.GIVE_BACK);
+    assertThat(answer.seats().get(1)).isFalse();
+  }
+
+  @Test
+  void aTurnThatIsTakenAgainIsNotGivenBackByALateDatagram() throws Exception {
+    SeatMessage answer =
+        answered(
+            SeatMessage.Kind.LEAVE,
+            SeatMessage.Kind.LEAVE,
+            SeatMessage.Kind.STAYS,
+            SeatMessage.Kind.LEAVE,
+            SeatMessage.Kind.STAYS);
+    assertThat(answer.kind()).isEqualTo(SeatMessage.Kind.OTHER_LEAVES);
+    answer = answered(SeatMessage.Kind.LEAVE, SeatMessage.Kind.LEAVE, SeatMessage.Kind.STAYS);
+    assertThat(answer.kind()).isEqualTo(SeatMessage.Kind.GO);
+  }
+
   /** Whatever comes is read or refused, and nothing that is read is beyond its bounds. */
   @Test
   void readsAnythingWithoutFailing() {
