One place for the options of a site, which simulate and lab had twice

Need: both commands had seven options, their limits and the plan of a seed by copy, and shares had just been added to both. Change: SiteOptions, mixed into both; behaviour as before but for the words of two descriptions and limits told by lab as simulate does.

Ruled out: the experiment's options, which take several sizes at once.

--- a/src/main/java/brassbank/lab/LabCommand.java
+++ b/src/main/java/brassbank/lab/LabCommand.java
@@ -2,7 +2,7 @@
 
 import brassbank.cli.Exit;
 import brassbank.cli.UsageException;
-import brassbank.sim.fault.Night;
+import brassbank.sim.cli.SiteOptions;
 import brassbank.sim.fault.Plan;
 import brassbank.sim.fault.Script;
 import brassbank.sim.fault.ScriptException;
@@ -13,6 +13,7 @@
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 
@@ -38,12 +39,6 @@
       description = "A script as simulate has it; else the faults are drawn from the seed.")
   private Path script;
 
-  @Option(
-      names = "--night",
-      paramLabel = "KIND",
-      description = "A night of a large fleet: ${COMPLETION-CANDIDATES}.")
-  private Night night;
-
   @Option(
       names = "--seed",
       paramLabel = "SEED",
@@ -51,21 +46,7 @@
       description = "What all is drawn from (default: ${DEFAULT-VALUE}).")
   private long seed;
 
-  @Option(
-      names = "--seconds",
-      paramLabel = "N",
-      defaultValue = "" + Plan.SECONDS,
-      description = "Seconds of the play (default: ${DEFAULT-VALUE}).")
-  private int seconds;
-
-  @Option(names = "--proxies", paramLabel = "N", description = "Proxies, each a process.")
-  private Integer proxies;
-
-  @Option(names = "--hosts", paramLabel = "N", description = "Stream hosts.")
-  private Integer hosts;
-
-  @Option(names = "--rate", paramLabel = "N", description = "New clients a second.")
-  private Double rate;
+  @Mixin private SiteOptions site;
 
   @Option(
       names = "--logs",
@@ -84,16 +65,6 @@
       description = "Leave a site that broke a rule standing until Ctrl-C, to look at it.")
   private boolean keep;
 
-  @Option(
-      names = "--membership",
-      description = "The proxies keep a view of the fleet, under further rules.")
-  private boolean membership;
-
-  @Option(
-      names = "--shares",
-      description = "They share the fleet's budgets by who is there besides.")
-  private boolean shares;
-
   private final PrintStream output = System.out;
   private final PrintStream notes = System.err;
 
@@ -127,10 +98,10 @@
   }
 
   private Plan plan() throws IOException {
-    require(script == null || night == null, "a script has its own faults: no --night with it");
+    require(script == null || !site.night(), "a script has its own faults: no --night with it");
     if (script != null) {
       require(
-          proxies == null && hosts == null && rate == null && !membership && !shares,
+          !site.sized() && !site.together(),
           "a script says itself how many proxies, hosts and clients there are, and what they do");
       try {
         Plan read = Script.read(script);
@@ -143,21 +114,8 @@
         throw new UsageException(e.getMessage());
       }
     }
-    boolean large = night != null;
-    int proxyCount = proxies != null ? proxies : large ? Night.PROXIES : Plan.PROXIES;
-    int hostCount = hosts != null ? hosts : large ? Night.HOSTS : Plan.HOSTS;
-    double arrivals = rate != null ? rate : large ? Night.RATE : Plan.RATE;
-    require(
-        proxyCount >= 1 && proxyCount <= MOST_PROXIES,
-        "--proxies must be from 1 to " + MOST_PROXIES);
-    require(hostCount >= 1 && hostCount <= 250, "--hosts must be from 1 to 250");
-    require(arrivals > 0 && arrivals <= 1_000, "--rate must be above 0 and at most 1000");
-    require(seconds >= Plan.LEAST_SECONDS, "--seconds must be " + Plan.LEAST_SECONDS + " or more");
-    Plan plan =
-        large
-            ? night.plan(seed, seconds, proxyCount, hostCount, arrivals)
-            : Plan.drawn(seed, seconds, proxyCount, hostCount, arrivals).playable();
-    return plan.with(shares ? Plan.View.SHARES : membership ? Plan.View.MEMBERS : Plan.View.NONE);
+    site.check(MOST_PROXIES);
+    return site.plan(seed).playable();
   }
 
   private static void require(boolean holds, String otherwise) {
--- a/src/main/java/brassbank/sim/cli/SimulateCommand.java
+++ b/src/main/java/brassbank/sim/cli/SimulateCommand.java
@@ -7,7 +7,6 @@
 import brassbank.sim.check.Breach;
 import brassbank.sim.fault.FaultKind;
 import brassbank.sim.fault.Kinds;
-import brassbank.sim.fault.Night;
 import brassbank.sim.fault.Plan;
 import brassbank.sim.fault.Script;
 import brassbank.sim.fault.ScriptException;
@@ -20,6 +19,7 @@
 import java.util.function.UnaryOperator;
 import picocli.CommandLine.ArgGroup;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
 
 /** Whole proxies in virtual time, against faults drawn from seeds or written in a script. */
@@ -37,6 +37,7 @@
     })
 public final class SimulateCommand implements Callable<Integer> {
   private static final int MOST_JOBS = 256;
+  private static final int MOST_PROXIES = 250;
 
   /** What is to be run: exactly one of these. */
   private static final class What {
@@ -83,69 +84,21 @@
       description = "Where --shrink writes its script; seed-SEED.toml if it is not given.")
   private Path out;
 
-  @Option(
-      names = "--seconds",
-      paramLabel = "N",
-      defaultValue = "" + Plan.SECONDS,
-      description = "Virtual seconds of each run (default: ${DEFAULT-VALUE}).")
-  private int seconds;
-
-  @Option(
-      names = "--proxies",
-      paramLabel = "N",
-      description = "Proxies (default: " + Plan.PROXIES + ").")
-  private Integer proxies;
-
-  @Option(
-      names = "--hosts",
-      paramLabel = "N",
-      description = "Stream hosts (default: " + Plan.HOSTS + ").")
-  private Integer hosts;
-
-  @Option(
-      names = "--rate",
-      paramLabel = "N",
-      description = "New clients a second (default: " + Plan.RATE + ").")
-  private Double rate;
-
-  @Option(
-      names = "--night",
-      paramLabel = "KIND",
-      description =
-          "In place of drawn faults a night of a large fleet: ${COMPLETION-CANDIDATES}"
-              + " (14 proxies, 60 hosts, 28 clients a second if they are not given).")
-  private Night night;
-
-  @Option(
-      names = "--membership",
-      description = "The proxies keep a view of the fleet, under further rules.")
-  private boolean membership;
-
-  @Option(
-      names = "--shares",
-      description = "They share the fleet's budgets by who is there besides.")
-  private boolean shares;
+  @Mixin private SiteOptions site;
 
   private final PrintStream output = System.out;
   private final PrintStream notes = System.err;
 
   @Override
   public Integer call() throws IOException {
-    boolean large = night != null;
-    proxies = proxies != null ? proxies : large ? Night.PROXIES : Plan.PROXIES;
-    hosts = hosts != null ? hosts : large ? Night.HOSTS : Plan.HOSTS;
-    rate = rate != null ? rate : large ? Night.RATE : Plan.RATE;
-    require(seconds >= Plan.LEAST_SECONDS, "--seconds must be " + Plan.LEAST_SECONDS + " or more");
-    require(proxies >= 1 && proxies <= 250, "--proxies must be from 1 to 250");
-    require(hosts >= 1 && hosts <= 250, "--hosts must be from 1 to 250");
-    require(rate > 0 && rate <= 1_000, "--rate must be above 0 and at most 1000");
+    site.check(MOST_PROXIES);
     require(jobs >= 1 && jobs <= MOST_JOBS, "--jobs must be from 1 to " + MOST_JOBS);
     require(!trace || what.seed != null || what.script != null, "--trace needs --seed or --script");
     require(out == null || what.shrink != null, "--out needs --shrink");
     require(
-        night == null || what.script == null, "--night needs seeds: a script has its own faults");
+        !site.night() || what.script == null, "--night needs seeds: a script has its own faults");
     require(
-        !(membership || shares) || what.script == null,
+        !site.together() || what.script == null,
         "--membership and --shares need seeds: a script says it itself");
     require(!json || what.seeds != null, "--json needs --seeds");
     if (what.kinds) {
@@ -155,7 +108,7 @@
       return one(script());
     }
     if (what.seed != null) {
-      return one(drawn(what.seed));
+      return one(site.plan(what.seed));
     }
     return what.shrink != null ? shrink() : seeds();
   }
@@ -166,14 +119,6 @@
     }
   }
 
-  private Plan drawn(long seed) {
-    Plan plan =
-        night == null
-            ? Plan.drawn(seed, seconds, proxies, hosts, rate)
-            : night.plan(seed, seconds, proxies, hosts, rate);
-    return plan.with(shares ? Plan.View.SHARES : membership ? Plan.View.MEMBERS : Plan.View.NONE);
-  }
-
   private Plan script() throws IOException {
     try {
       return Script.read(what.script);
@@ -217,14 +162,14 @@
     } catch (IllegalArgumentException e) {
       throw new UsageException("--seeds: " + e.getMessage());
     }
-    Seeds.Summary summary = new Seeds(this::drawn, jobs, notes).run(range);
+    Seeds.Summary summary = new Seeds(site::plan, jobs, notes).run(range);
     output.println(json ? summary.json() : summary.text());
     return summary.failed().isEmpty() ? Exit.OK : Exit.FAILED;
   }
 
   private int shrink() throws IOException {
     long seed = what.shrink;
-    Plan plan = drawn(seed);
+    Plan plan = site.plan(seed);
     Shrinker.Shrunk shrunk =
         Shrinker.shrink(
             plan,
--- /dev/null
+++ b/src/main/java/brassbank/sim/cli/SiteOptions.java
@@ -0,0 +1,105 @@
+package brassbank.sim.cli;
+
+import brassbank.cli.UsageException;
+import brassbank.sim.fault.Night;
+import brassbank.sim.fault.Plan;
+import picocli.CommandLine.Option;
+
+/** The site that a seed is played on; the same options in both worlds. */
+public final class SiteOptions {
+  private static final int MOST_MACHINES = 250;
+
+  @Option(
+      names = "--seconds",
+      paramLabel = "N",
+      defaultValue = "" + Plan.SECONDS,
+      description = "Seconds of each run (default: ${DEFAULT-VALUE}).")
+  private int seconds;
+
+  @Option(
+      names = "--proxies",
+      paramLabel = "N",
+      description = "Proxies (default: " + Plan.PROXIES + ").")
+  private Integer proxies;
+
+  @Option(
+      names = "--hosts",
+      paramLabel = "N",
+      description = "Stream hosts (default: " + Plan.HOSTS + ").")
+  private Integer hosts;
+
+  @Option(
+      names = "--rate",
+      paramLabel = "N",
+      description = "New clients a second (default: " + Plan.RATE + ").")
+  private Double rate;
+
+  @Option(
+      names = "--night",
+      paramLabel = "KIND",
+      description =
+          "In place of drawn faults a night of a large fleet: ${COMPLETION-CANDIDATES}"
+              + " (14 proxies, 60 hosts, 28 clients a second if they are not given).")
+  private Night night;
+
+  @Option(
+      names = "--membership",
+      description = "The proxies keep a view of the fleet, under further rules.")
+  private boolean membership;
+
+  @Option(
+      names = "--shares",
+      description = "They share the fleet's budgets by who is there besides.")
+  private boolean shares;
+
+  /** Whether a night is asked for. */
+  public boolean night() {
+    return night != null;
+  }
+
+  /** Whether it is said how many machines and clients there are. */
+  public boolean sized() {
+    return proxies != null || hosts != null || rate != null;
+  }
+
+  /** Whether the proxies are to do anything together. */
+  public boolean together() {
+    return membership || shares;
+  }
+
+  /** Tells what cannot be played, with at most so many proxies. */
+  public void check(int mostProxies) {
+    require(seconds >= Plan.LEAST_SECONDS, "--seconds must be " + Plan.LEAST_SECONDS + " or more");
+    require(
+        proxies() >= 1 && proxies() <= mostProxies, "--proxies must be from 1 to " + mostProxies);
+    require(hosts() >= 1 && hosts() <= MOST_MACHINES, "--hosts must be from 1 to " + MOST_MACHINES);
+    require(rate() > 0 && rate() <= 1_000, "--rate must be above 0 and at most 1000");
+  }
+
+  /** The night of a seed, or the faults that it draws. */
+  public Plan plan(long seed) {
+    Plan plan =
+        night == null
+            ? Plan.drawn(seed, seconds, proxies(), hosts(), rate())
+            : night.plan(seed, seconds, proxies(), hosts(), rate());
+    return plan.with(shares ? Plan.View.SHARES : membership ? Plan.View.MEMBERS : Plan.View.NONE);
+  }
+
+  private int proxies() {
+    return proxies != null ? proxies : night() ? Night.PROXIES : Plan.PROXIES;
+  }
+
+  private int hosts() {
+    return hosts != null ? hosts : night() ? Night.HOSTS : Plan.HOSTS;
+  }
+
+  private double rate() {
+    return rate != null ? rate : night() ? Night.RATE : Plan.RATE;
+  }
+
+  private static void require(boolean holds, String otherwise) {
+    if (!holds) {
+      throw new UsageException(otherwise);
+    }
+  }
+}
--- a/src/test/java/brassbank/ArchitectureTest.java
+++ b/src/test/java/brassbank/ArchitectureTest.java
@@ -272,6 +272,7 @@
             "brassbank.sim",
             "brassbank.sim.actor",
             "brassbank.sim.check",
+            "brassbank.sim.cli",
             "brassbank.sim.event",
             "brassbank.sim.fault",
             "brassbank.sim.net",
