--- a/src/main/java/ashspar/Admission.java
+++ b/src/main/java/ashspar/Admission.java
@@ -2,6 +2,7 @@
 
 import ashspar.Balancer.State;
 import ashspar.limits.ColdShare;
+import ashspar.limits.Division;
 import ashspar.limits.Groups;
 import java.util.ArrayList;
 import java.util.List;
@@ -14,7 +15,6 @@
 
   private final Node node;
   private final List<Server> cold = new ArrayList<>();
-  private boolean lapsed = true; // the part that goes beyond the base
 
   Admission(Node node) {
     this.node = node;
@@ -52,54 +52,36 @@
 
   /** A server has started, perhaps just now. */
   void started(Server s) {
-    s.coldShare = coldShare(Groups.number(s.id));
+    s.coldShare = node.limits.division.coldShare(node.now, Groups.number(s.id));
     if (warmth(s) < 1 && !cold.contains(s)) {
       cold.add(s);
     }
   }
 
-  private ColdShare coldShare(int number) {
-    Balancer.Share share = node.share;
-    if (share == null) {
-      return new ColdShare(node.settings.rank() + number, node.settings.nodes());
-    }
-    int of = share.of();
-    return new ColdShare(
-        Math.floorMod(share.turn() + number, of) * node.spacing() / of, node.spacing());
-  }
-
-  /**
-   * This node's part is told anew, and the one before has perhaps ended meanwhile.
-   *
-   * @return whether it is another than before
-   */
-  boolean share(Balancer.Share next) {
+  /** This node's part is told anew; whether it is another than before. */
+  boolean share(Balancer.Share s) {
     lapse();
-    double was = node.spacing();
-    node.share = next;
-    lapsed = node.now >= next.until();
-    if (node.spacing() == was) {
-      return false;
+    Division division = node.limits.division;
+    boolean other = division.told(node.now, s.part(), s.base(), s.turn(), s.of(), s.until());
+    if (other) {
+      deal(node.now);
     }
-    deal(node.now);
-    node.limits.shares.divide(node.spacing());
-    return true;
+    return other;
   }
 
-  /** A part ends when it was to end, not when that is noticed: a process may have been stopped. */
   private void lapse() {
-    if (!lapsed && node.share != null && node.now >= node.share.until()) {
-      lapsed = true;
-      deal(node.share.until());
-      node.limits.shares.divide(node.spacing());
+    long ended = node.limits.division.ended(node.now);
+    if (ended <= node.now) {
+      deal(ended);
     }
   }
 
   private void deal(long at) {
     for (Server s : cold) {
       double age = Math.max(0, at - s.since) / (double) Node.SECOND;
-      s.coldShare.deal(warming(s), age, node.spacing());
+      s.coldShare.deal(warming(s), age, node.limits.division.spacing(node.now));
     }
+    node.limits.shares.divide(node.limits.division.spacing(node.now));
   }
 
   /** The share of its capacity that a server surely has, by the slowest warm-up stated. */
--- a/src/main/java/ashspar/Balancer.java
+++ b/src/main/java/ashspar/Balancer.java
@@ -255,11 +255,6 @@
       require(base > 0 && base <= part && part <= 1, "a part is above 0 and at most 1");
       require(turn >= 0 && turn < of, "a turn is below the number of those that share");
     }
-
-    /** The part at a moment. */
-    double at(long now) {
-      return now < until ? part : base;
-    }
   }
 
   /** A class of requests. */
--- a/src/main/java/ashspar/Node.java
+++ b/src/main/java/ashspar/Node.java
@@ -37,7 +37,6 @@
   final Admission admission = new Admission(this);
   final Probing probing = new Probing(this);
   Settings settings;
-  Balancer.Share share; // of the fleet's budgets; null where the settings' numbers hold
   long now;
   int openConnections;
 
@@ -62,7 +61,8 @@
     double warm = rules.warmUp() / (double) SECOND;
     double window = rules.fallWindow() / (double) SECOND;
     WarmUp warmUp = new WarmUp(rules.coldShare(), warm, rules.fallMultiple(), window);
-    limits.configure(spacing(), settings.overShareWorth(), warmUp);
+    limits.division.configure(settings.rank(), settings.nodes());
+    limits.configure(limits.division.spacing(now), settings.overShareWorth(), warmUp);
     for (RequestClass type : settings.classes()) {
       classes.put(type.name(), type);
       limits.worths.ofClass(type.worth());
@@ -73,16 +73,6 @@
     weights.configure();
   }
 
-  /** How many nodes share the fleet, as far as this one is told. */
-  int nodes() {
-    return share == null || now >= share.until() ? settings.nodes() : share.of();
-  }
-
-  /** The inverse of this node's part of the fleet's budgets. */
-  double spacing() {
-    return share == null ? settings.nodes() : 1 / share.at(now);
-  }
-
   /** Whether the sizes of the list tell what servers can do. */
   boolean sized() {
     return settings.sizes() == SizeMeaning.NOMINAL || settings.sizes() == SizeMeaning.ROUGH;
--- a/src/main/java/ashspar/Policy.java
+++ b/src/main/java/ashspar/Policy.java
@@ -363,7 +363,7 @@
 
   private void measure() {
     double mean = node.weights.meanLoad();
-    node.limits.measure(node.now, mean, node.openConnections, node.nodes());
+    node.limits.measure(node.now, mean, node.openConnections, node.limits.division.nodes(node.now));
   }
 
   @Override
