Subsets: each proxy asks a part of the hosts, and places there at first

Each host now takes the proxies that ask it, by highest random weight over membership's view; the module places at its own hosts first and looks further step by step, asking before it places, and crosses to another zone only after the rest of its own was asked.

--- a/src/main/java/ashspar/Admission.java
+++ b/src/main/java/ashspar/Admission.java
@@ -4,6 +4,7 @@
 import ashspar.limits.ColdShare;
 import ashspar.limits.Division;
 import ashspar.limits.Groups;
+import ashspar.limits.Reach;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -12,6 +13,7 @@
  */
 final class Admission {
   static final double COLD_HEAVIEST = 2; // against the mean
+  private static final long KNOWN = 4 * Node.SECOND; // what is held elsewhere is asked each 3 s
 
   private final Node node;
   private final List<Server> cold = new ArrayList<>();
@@ -26,14 +28,40 @@
       return null;
     }
     callCold();
-    Server s = node.wheels.next(h, false);
+    Server s = null;
+    int most = node.own == null ? Reach.LAST : node.limits.reach.tiers();
+    for (int tier = node.own == null ? most : 0; s == null && tier <= most; tier++) {
+      s = node.wheels.next(h, false, tier);
+      if (s == null && node.limits.reach.missed(node.now, tier)) {
+        node.probing.tick();
+      }
+    }
     if (s != null || node.ready.stream().anyMatch(other -> other.weight > 0)) {
-      return s == null && !h.tried.isEmpty() ? node.wheels.next(h, true) : s;
+      return s == null && !h.tried.isEmpty() ? node.wheels.next(h, true, most) : s;
     }
     List<Server> any = node.ready.stream().filter(x -> open(x) && allowed(h, x, true)).toList();
     return any.isEmpty() ? null : any.get(node.random.nextInt(any.size()));
   }
 
+  /** By whom a server is tried: a subset costs no place, and what is unknown comes last. */
+  int tier(Server s) {
+    return Reach.tier(s.own || warmth(s) < 1, node.weights.nearness(s) == 1, known(s));
+  }
+
+  private boolean known(Server s) {
+    return node.now - s.reportAt <= KNOWN || !node.settings.limits().probes();
+  }
+
+  /** How far this node is to look beyond its own servers, by how many of them take more. */
+  void look() {
+    node.limits.reach.look(
+        node.now,
+        node.own == null ? List.of() : node.ready,
+        s -> s.own,
+        s -> node.weights.nearness(s) == 1,
+        s -> !s.quiesced && s.limits.open(node.now) && known(s));
+  }
+
   /** Whether a server can take anything at all. */
   boolean open(Server s) {
     return s.state == State.READY
--- a/src/main/java/ashspar/Balancer.java
+++ b/src/main/java/ashspar/Balancer.java
@@ -3,6 +3,7 @@
 import ashspar.limits.Ending;
 import ashspar.limits.LimitsSnapshot;
 import java.util.List;
+import java.util.Set;
 
 /**
  * The decisions of one node: its whole interface, types included.
@@ -50,6 +51,9 @@
   /** How much of the fleet's budgets this node may spend; until it is told, by the settings. */
   default void share(long now, Share share) {}
 
+  /** Which servers this node asks and places at first; null for all, as until it is told. */
+  default void own(long now, Set<String> servers) {}
+
   /** What the node holds itself to, as plain values. */
   LimitsSnapshot limits();
 
--- a/src/main/java/ashspar/Fleet.java
+++ b/src/main/java/ashspar/Fleet.java
@@ -54,6 +54,7 @@
       s = new Server(entry.id(), node.limits.join(entry.id()));
       node.servers.put(s.id, s);
     }
+    s.own = node.own == null || node.own.contains(s.id);
     s.zone = entry.zone();
     s.cell = entry.cell();
     s.size = entry.size() > 0 && entry.size() < 1e9 ? entry.size() : s.size;
--- a/src/main/java/ashspar/Node.java
+++ b/src/main/java/ashspar/Node.java
@@ -12,6 +12,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 
 /** One node's parts, and what they share: its time, its settings and what it holds. */
@@ -37,6 +38,7 @@
   final Admission admission = new Admission(this);
   final Probing probing = new Probing(this);
   Settings settings;
+  Set<String> own; // servers that are this node's to ask; null for all
   long now;
   int openConnections;
 
--- a/src/main/java/ashspar/Policy.java
+++ b/src/main/java/ashspar/Policy.java
@@ -5,6 +5,7 @@
 import ashspar.limits.Outliers;
 import ashspar.limits.Shedding;
 import java.util.List;
+import java.util.Set;
 import java.util.function.ToDoubleFunction;
 
 /**
@@ -351,6 +352,7 @@
 
   private void tick() {
     node.actions.timer(Node.INTERVAL, TOKEN_TICK);
+    node.admission.look();
     node.probing.tick();
     measure();
     node.weights.recompute();
@@ -375,6 +377,14 @@
     }
   }
 
+  @Override
+  public void own(long at, Set<String> servers) {
+    node.now = at;
+    node.own = servers;
+    node.servers.values().forEach(s -> s.own = servers == null || servers.contains(s.id));
+    node.limits.noRoom.forget();
+  }
+
   @Override
   public LimitsSnapshot limits() {
     return node.limits.snapshot(node.now);
--- a/src/main/java/ashspar/Probing.java
+++ b/src/main/java/ashspar/Probing.java
@@ -25,6 +25,10 @@
     }
   }
 
+  private boolean asks(Server s) {
+    return s.own || node.limits.reach.covers(node.weights.nearness(s) == 1);
+  }
+
   /** Probes the servers whose turn comes next, so that the weights are true where they decide. */
   void lookAhead(Held h) {
     for (Server s : node.wheels.ahead(LOOK_AHEAD, s -> worthAsking(h, s))) {
@@ -40,6 +44,7 @@
 
   private boolean worthAsking(Held h, Server s) {
     return s.state == State.READY
+        && asks(s)
         && !h.tried.contains(s)
         && h.sharesMemory(s, node.now)
         && node.admission.coldAllows(s);
@@ -48,10 +53,12 @@
   /** At each interval: asks again where no answer came, or one that tells of the past. */
   void tick() {
     for (Server s : node.ready) {
-      boolean old = !s.open.isEmpty() && node.now - s.reportAt >= STALE;
+      boolean held = !s.open.isEmpty() || (node.own != null && asks(s));
+      boolean old = held && node.now - s.reportAt >= (s.own ? STALE : 2 * STALE);
+      boolean due = s.quiesced || s.limits.record.awaitsProbe() || s.reportAt < 0;
       if (s.quiesced && !node.settings.limits().probes()) {
         restore(s);
-      } else if (s.quiesced || s.limits.record.awaitsProbe() || s.reportAt < 0 || old) {
+      } else if (old || (due && (held || asks(s)))) {
         probe(s);
       }
     }
--- a/src/main/java/ashspar/Server.java
+++ b/src/main/java/ashspar/Server.java
@@ -42,6 +42,7 @@
   double input;
   boolean quiesced;
   boolean probing;
+  boolean own = true; // one that this node asks, and places at first
   ColdShare coldShare; // of what it may be sent while it warms up
   final Pause moving = new Pause(3 * Node.SECOND / 2); // until a report shows the last move
   long restUntil;
--- a/src/main/java/ashspar/Wheels.java
+++ b/src/main/java/ashspar/Wheels.java
@@ -2,6 +2,7 @@
 
 import ashspar.Balancer.State;
 import ashspar.limits.Groups;
+import ashspar.limits.Reach;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.Iterator;
@@ -79,9 +80,9 @@
   }
 
   /** The next server in turn that this request may go to, or null; what is full is parked. */
-  Server next(Held h, boolean again) {
+  Server next(Held h, boolean again, int tier) {
     String group = h.request.group();
-    boolean fresh = !again && h.tried.isEmpty();
+    boolean fresh = !again && h.tried.isEmpty() && tier == Reach.LAST;
     if (fresh && node.limits.noRoom.surely(node.now, node.value(h))) {
       return null;
     }
@@ -101,7 +102,7 @@
         s.place = null;
         s.parked = true;
         parked.add(s);
-      } else if (node.admission.allowed(h, s, again)) {
+      } else if (node.admission.tier(s) <= tier && node.admission.allowed(h, s, again)) {
         first = looks++ == 0 ? turn.at() : first;
         double liking = node.limits.liking(s.limits, group) * node.weights.nearness(s);
         double at = turn.at() - early * liking;
--- a/src/main/java/ashspar/limits/Limits.java
+++ b/src/main/java/ashspar/limits/Limits.java
@@ -42,6 +42,7 @@
   public final Worths worths = new Worths(shares, estimate);
   public final Patience patience = new Patience();
   public final ProbeBudget probes = new ProbeBudget();
+  public final Reach reach = new Reach();
   public final Division division = new Division();
   public final RetryBudget retries;
   private final List<ServerLimits> ready = new ArrayList<>();
--- a/src/main/java/brassbank/config/file/Keys.java
+++ b/src/main/java/brassbank/config/file/Keys.java
@@ -158,6 +158,21 @@
               + " there; the rest is shared by who is. With 1.0 all goes by the file. It must be"
               + " the same in all files of a fleet.");
 
+  static {
+    table(
+        "subsets",
+        "Each proxy asks a part of the hosts, off where the table is not there; it needs"
+            + " [membership]. docs/subsets.md says what it costs and brings.");
+  }
+
+  static final Key<Long> ASKERS =
+      key(
+          "subsets.askers",
+          Kind.count(1, 1_000),
+          null,
+          "How many proxies ask a host at least; more do where a proxy would have fewer than eight"
+              + " hosts otherwise. It must be the same in all files of a fleet.");
+
   /** The keys that both sides of a session have. */
   static final class Side {
     final Key<Long> waiting;
--- a/src/main/java/brassbank/config/file/Kind.java
+++ b/src/main/java/brassbank/config/file/Kind.java
@@ -126,6 +126,29 @@
     };
   }
 
+  /** A whole number. */
+  static Kind<Long> count(long least, long most) {
+    return new Kind<>(least, most) {
+      @Override
+      String form() {
+        return "a whole number";
+      }
+
+      @Override
+      Long taken(Object toml) {
+        if (!(toml instanceof Long whole)) {
+          throw new IllegalArgumentException();
+        }
+        return whole;
+      }
+
+      @Override
+      String written(Long value) {
+        return value.toString();
+      }
+    };
+  }
+
   /** One address with its port; no name is looked up. */
   static Kind<Addresses> address() {
     return addresses(
--- a/src/main/java/brassbank/config/file/Options.java
+++ b/src/main/java/brassbank/config/file/Options.java
@@ -29,6 +29,10 @@
       problems.problem(
           values.line(Keys.BASE), "shares needs [membership]: who is there tells that");
     }
+    if (fleet == null && values.get(Keys.ASKERS) != null) {
+      problems.problem(
+          values.line(Keys.ASKERS), "subsets needs [membership]: who is there tells that");
+    }
     if (fleet == null) {
       if (line > 0) {
         problems.problem(line, "membership.fleet is missing, without which there is no membership");
@@ -36,6 +40,7 @@
       return null;
     }
     Double base = values.get(Keys.BASE);
+    Long askers = values.get(Keys.ASKERS);
     Addresses listen = values.get(Keys.LISTEN);
     Addresses advertised = values.get(Keys.ADVERTISE);
     if (advertised != null && advertised.one().getAddress().isAnyLocalAddress()) {
@@ -48,7 +53,8 @@
         advertised == null ? null : advertised.one(),
         values.get(Keys.SEEDS).all(),
         Settings.USUAL.suspicion(values.get(Keys.SUSPICION)).forget(values.get(Keys.FORGET)),
-        base == null ? Double.NaN : base);
+        base == null ? Double.NaN : base,
+        askers == null ? 0 : askers.intValue());
   }
 
   private static RelayLimits relay(Values values, Problems problems) {
--- a/src/main/java/brassbank/decide/Decider.java
+++ b/src/main/java/brassbank/decide/Decider.java
@@ -12,6 +12,7 @@
 import brassbank.lifecycle.Lifecycle;
 import brassbank.lifecycle.State;
 import brassbank.log.Log;
+import brassbank.subsets.Subset;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
@@ -54,6 +55,9 @@
   private final Lifecycle lifecycle = new Lifecycle();
   private boolean listed;
 
+  /** Null where all targets are this proxy's to ask. */
+  private Subset subset;
+
   /** Starts the module with the list that this proxy last had. */
   public Decider(Balancer.Settings settings, long seed, TargetList known, FlowClock clock) {
     this.clock = clock;
@@ -163,6 +167,9 @@
               clock.ofNanos(shared.untilNanos())));
     } else if (happening instanceof Happening.Serving) {
       lifecycle.on(Event.SERVING, now);
+    } else if (happening instanceof Happening.Peers peers) {
+      subset = peers.subset();
+      module.own(now, subset == null ? null : subset.of(group.peers()));
     }
     return decided();
   }
@@ -518,7 +525,11 @@
   // ------------------------------------------------------------- target group
 
   private void list(TargetList list, Balancer.ListKind kind) {
-    module.servers(now, kind, group.take(list, kind, delays::forget));
+    List<Balancer.ServerEntry> entries = group.take(list, kind, delays::forget);
+    if (subset != null) {
+      module.own(now, subset.of(group.peers()));
+    }
+    module.servers(now, kind, entries);
   }
 
   /** Turns the module's actions into decisions, against the ledger. */
--- a/src/main/java/brassbank/decide/Happening.java
+++ b/src/main/java/brassbank/decide/Happening.java
@@ -1,6 +1,7 @@
 package brassbank.decide;
 
 import ashspar.Balancer;
+import brassbank.subsets.Subset;
 import java.util.List;
 
 /** What the network has seen. */
@@ -48,6 +49,9 @@
    */
   record Shared(double part, double base, int turn, int of, long untilNanos) implements Happening {}
 
+  /** Which targets this proxy asks, and places at first; null for all of them. */
+  record Peers(Subset subset) implements Happening {}
+
   /** The proxy takes connections. */
   record Serving() implements Happening {}
 
--- a/src/main/java/brassbank/decide/TargetGroup.java
+++ b/src/main/java/brassbank/decide/TargetGroup.java
@@ -5,6 +5,7 @@
 
 import ashspar.Balancer;
 import brassbank.log.Log;
+import brassbank.subsets.Peer;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -38,6 +39,11 @@
     return List.copyOf(told.values());
   }
 
+  /** The targets by name and zone, for those who choose among them. */
+  List<Peer> peers() {
+    return told.values().stream().map(entry -> new Peer(entry.name(), entry.zone())).toList();
+  }
+
   /**
    * Takes a list over.
    *
--- a/src/main/java/brassbank/lab/Lab.java
+++ b/src/main/java/brassbank/lab/Lab.java
@@ -266,7 +266,7 @@
     if (plan.membership()) {
       List<RealProxy> seeds = List.copyOf(proxies.values()).subList(0, Math.min(2, proxies.size()));
       for (RealProxy proxy : proxies.values()) {
-        proxy.joins(seeds, plan.shares());
+        proxy.joins(seeds, plan);
         scene.agenda().after(0, proxy::watchView);
       }
     }
--- a/src/main/java/brassbank/lab/RealProxy.java
+++ b/src/main/java/brassbank/lab/RealProxy.java
@@ -5,6 +5,7 @@
 import brassbank.sim.actor.Site;
 import brassbank.sim.actor.World;
 import brassbank.sim.event.Event;
+import brassbank.sim.fault.Plan;
 import brassbank.sim.net.Datagrams;
 import brassbank.sim.net.Endpoint;
 import brassbank.sim.net.Machine;
@@ -494,16 +495,19 @@
   private boolean sharing;
 
   /** Its processes join a fleet, which they look for at these proxies' places. */
-  void joins(List<RealProxy> others, boolean shares) throws IOException {
+  void joins(List<RealProxy> others, Plan plan) throws IOException {
     seeds = List.copyOf(others);
-    sharing = shares;
+    sharing = plan.shares();
     StringBuilder text = new StringBuilder("[membership]\nfleet = \"lab\"\n");
     text.append("advertise = \"").append(text(common())).append("\"\nseeds = [");
     seeds.forEach(other -> text.append('"').append(text(other.common())).append("\","));
     text.append("]\n");
-    if (shares) {
+    if (plan.shares()) {
       text.append("[shares]\nbase = ").append(SeatSettings.USUAL_BASE).append('\n');
     }
+    if (plan.subsets()) {
+      text.append("[subsets]\naskers = ").append(plan.askers()).append('\n');
+    }
     Files.writeString(folder().resolve(OWN), text.toString());
   }
 
--- a/src/main/java/brassbank/membership/Joining.java
+++ b/src/main/java/brassbank/membership/Joining.java
@@ -12,6 +12,7 @@
  * @param seeds where others may be; all of them may be down, wrong or the program's own
  * @param base the part of the fleet's budgets that goes by the file's numbers; NaN where all of it
  *     does, and nothing is shared by who is there
+ * @param askers how many proxies ask a host at least; 0 where all do
  */
 public record Joining(
     String fleet,
@@ -19,19 +20,20 @@
     InetSocketAddress advertised,
     List<InetSocketAddress> seeds,
     Settings settings,
-    double base) {
+    double base,
+    int askers) {
   public Joining {
     seeds = List.copyOf(seeds);
   }
 
-  /** Without shares. */
+  /** Without shares and subsets. */
   public Joining(
       String fleet,
       InetSocketAddress listen,
       InetSocketAddress advertised,
       List<InetSocketAddress> seeds,
       Settings settings) {
-    this(fleet, listen, advertised, seeds, settings, Double.NaN);
+    this(fleet, listen, advertised, seeds, settings, Double.NaN, 0);
   }
 
   /** Whether budgets are shared by who is there. */
@@ -41,12 +43,23 @@
 
   /** The same with another base. */
   public Joining sharing(double part) {
-    return new Joining(fleet, listen, advertised, seeds, settings, part);
+    return new Joining(fleet, listen, advertised, seeds, settings, part, askers);
+  }
+
+  /** Whether each proxy asks a subset of the hosts. */
+  public boolean subsets() {
+    return askers > 0;
+  }
+
+  /** The same with so many proxies that ask a host at least. */
+  public Joining asking(int proxies) {
+    return new Joining(fleet, listen, advertised, seeds, settings, base, proxies);
   }
 
   /** The same for a program whose clients come to this address. */
   public Joining at(InetSocketAddress clients) {
     InetSocketAddress here = listen == null ? clients : listen;
-    return new Joining(fleet, here, advertised == null ? here : advertised, seeds, settings, base);
+    InetSocketAddress met = advertised == null ? here : advertised;
+    return new Joining(fleet, here, met, seeds, settings, base, askers);
   }
 }
--- a/src/main/java/brassbank/proxy/Member.java
+++ b/src/main/java/brassbank/proxy/Member.java
@@ -28,6 +28,10 @@
             new Randomness(config.seed()).part("fleet of " + config.name()),
             () -> activity(decider),
             joining.shares() ? sharer(config, dispatcher) : null);
+    if (joining.subsets()) {
+      Peers peers = new Peers(net, dispatcher, fleet, config.name(), joining.askers());
+      fleet.listen(change -> peers.changed());
+    }
   }
 
   Fleet fleet() {
--- a/src/main/java/brassbank/sim/Fleets.java
+++ b/src/main/java/brassbank/sim/Fleets.java
@@ -3,6 +3,7 @@
 import brassbank.membership.Joining;
 import brassbank.membership.Settings;
 import brassbank.shares.SeatSettings;
+import brassbank.sim.fault.Plan;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
@@ -17,7 +18,7 @@
   private Fleets() {}
 
   /** The first proxies' machines are 10.0.0.1 and so on ({@code World.machine}). */
-  static Joining joining(boolean shares) {
+  static Joining joining(Plan plan) {
     List<InetSocketAddress> seeds = new ArrayList<>();
     for (int i = 1; i <= SEEDS; i++) {
       try {
@@ -28,6 +29,7 @@
       }
     }
     Joining joining = new Joining("simulated", null, null, seeds, Settings.USUAL);
-    return shares ? joining.sharing(SeatSettings.USUAL_BASE) : joining;
+    joining = plan.shares() ? joining.sharing(SeatSettings.USUAL_BASE) : joining;
+    return plan.subsets() ? joining.asking(plan.askers()) : joining;
   }
 }
--- a/src/main/java/brassbank/sim/Run.java
+++ b/src/main/java/brassbank/sim/Run.java
@@ -3,6 +3,7 @@
 import brassbank.log.Field;
 import brassbank.log.Level;
 import brassbank.log.Log;
+import brassbank.membership.Joining;
 import brassbank.net.Network;
 import brassbank.sim.actor.Site;
 import brassbank.sim.check.Breach;
@@ -55,6 +56,17 @@
    * @param told the site as the proxies are told of it; as it is but where a test plants a fault
    */
   public Run(Plan plan, UnaryOperator<Network> wrapping, UnaryOperator<Site> told) {
+    this(plan, wrapping, told, UnaryOperator.identity());
+  }
+
+  /**
+   * @param joins how proxies become members, where they do; as it is but where a test plants a file
+   */
+  Run(
+      Plan plan,
+      UnaryOperator<Network> wrapping,
+      UnaryOperator<Site> told,
+      UnaryOperator<Joining> joins) {
     this.plan = plan;
     Site site = told.apply(Scene.site(plan));
     boolean upgraded =
@@ -72,7 +84,7 @@
                     machine,
                     wrapping,
                     upgraded,
-                    plan.membership() ? Fleets.joining(plan.shares()) : null));
+                    plan.membership() ? joins.apply(Fleets.joining(plan)) : null));
   }
 
   /** To be called before {@link #go}, by whoever wants to see the events. */
--- a/src/main/java/brassbank/sim/Scene.java
+++ b/src/main/java/brassbank/sim/Scene.java
@@ -105,6 +105,7 @@
             MOST_ATTEMPTS,
             site.proxies(),
             site.hosts(),
+            plan.askers(),
             Plan.RECOVERY_MILLIS * MILLI,
             plan.sockets() < Plan.USUAL_SOCKETS,
             demand(site));
@@ -112,6 +113,7 @@
     if (plan.membership()) {
       rules.addAll(Checks.ofMembership(figures));
       rules.addAll(plan.shares() ? Checks.ofShares(figures) : List.of());
+      rules.addAll(plan.subsets() ? Checks.ofSubsets(figures) : List.of());
       joined = new Joined(fabric, proxies);
     } else {
       joined = null;
@@ -329,6 +331,19 @@
       return new long[] {machine.datagrams(), machine.datagramBytes()};
     }
 
+    @Override
+    public String zone(String name) {
+      Instance proxy = proxies.get(name);
+      return proxy != null ? proxy.machine().zone() : world.hosts().get(name).machine().zone();
+    }
+
+    @Override
+    public boolean zoneHasRoom(String proxy, long forMicros) {
+      List<String> usable = hostsToUse(forMicros);
+      long hosts = world.hosts().keySet().stream().filter(h -> zone(h).equals(zone(proxy))).count();
+      return 2 * usable.stream().filter(h -> zone(h).equals(zone(proxy))).count() > hosts;
+    }
+
     @Override
     public int descriptors(String proxy) {
       return proxies.get(proxy).descriptors();
--- a/src/main/java/brassbank/sim/actor/Site.java
+++ b/src/main/java/brassbank/sim/actor/Site.java
@@ -58,6 +58,15 @@
 
   /** The same but for the rule on cold hosts: a test plants a proxy that is told too much. */
   public Site withFallMultiple(double multiple) {
+    return with(zones, multiple);
+  }
+
+  /** The same with other zones: a test plants proxies that take another one for theirs. */
+  public Site withZones(List<String> others) {
+    return with(others, fallMultiple);
+  }
+
+  private Site with(List<String> zones, double multiple) {
     return new Site(
         zones,
         proxies,
--- a/src/main/java/brassbank/sim/check/Checks.java
+++ b/src/main/java/brassbank/sim/check/Checks.java
@@ -68,12 +68,18 @@
     return List.of(new ColdPlaces(figures), new OneLeaves());
   }
 
+  /** Those that a fleet has besides whose proxies ask a part of the hosts each. */
+  public static List<Rule> ofSubsets(Figures figures) {
+    return List.of(new FewAsk(figures), new SubsetCostsNobody(figures));
+  }
+
   /**
    * The site's figures that rules need, in microseconds where they are times.
    *
    * @param mostAttempts attempts that a flow may have
    * @param descriptorsBind there may be fewer descriptors than the usual clients need
    * @param demand what the usual clients ask for together, over what the fleet can do once warm
+   * @param askers by how many proxies a host is asked at least, where they choose among hosts
    * @param recovery how long after the last fault everything must be sound again
    */
   public record Figures(
@@ -82,6 +88,7 @@
       int mostAttempts,
       int proxies,
       int hosts,
+      int askers,
       long recovery,
       boolean descriptorsBind,
       double demand) {}
--- a/src/main/java/brassbank/sim/check/Truth.java
+++ b/src/main/java/brassbank/sim/check/Truth.java
@@ -47,6 +47,16 @@
     return new long[2];
   }
 
+  /** The zone that a proxy or a stream host is in. */
+  default String zone(String name) {
+    return "";
+  }
+
+  /** Whether most hosts of a proxy's zone have served for so long, and have room. */
+  default boolean zoneHasRoom(String proxy, long forMicros) {
+    return false;
+  }
+
   /** Descriptors that this proxy holds now. */
   int descriptors(String proxy);
 
--- a/src/main/java/brassbank/sim/check/ViewsAgree.java
+++ b/src/main/java/brassbank/sim/check/ViewsAgree.java
@@ -22,6 +22,9 @@
     views.see(event);
     if (event instanceof Event.AllFaultsOver) {
       from = now + figures.recovery();
+    } else if (from < Long.MAX_VALUE && Calm.changesTheFleet(event)) {
+      // A rolling restart of a large fleet goes on beyond the fault's own time.
+      from = Math.max(from, now + figures.recovery());
     }
   }
 
--- a/src/main/java/brassbank/sim/cli/ExperimentCommand.java
+++ b/src/main/java/brassbank/sim/cli/ExperimentCommand.java
@@ -52,7 +52,7 @@
       paramLabel = "WHAT",
       split = ",",
       defaultValue = "off,shares",
-      description = "What the proxies do together: off, membership, shares.")
+      description = "What the proxies do together: off, membership, shares, subsets.")
   private List<String> vary;
 
   @Option(
@@ -134,13 +134,12 @@
   }
 
   private static Plan.View view(String what) {
-    return switch (what) {
-      case "off" -> Plan.View.NONE;
-      case "membership" -> Plan.View.MEMBERS;
-      case "shares" -> Plan.View.SHARES;
-      default ->
-          throw new UsageException("--vary: '" + what + "' is none of off, membership, shares");
-    };
+    for (Plan.View view : Plan.View.values()) {
+      if (view.key().equals(what)) {
+        return view;
+      }
+    }
+    throw new UsageException("--vary: '" + what + "' is none of off, membership, shares, subsets");
   }
 
   private static void require(boolean holds, String otherwise) {
--- a/src/main/java/brassbank/sim/cli/SiteOptions.java
+++ b/src/main/java/brassbank/sim/cli/SiteOptions.java
@@ -52,6 +52,9 @@
       description = "They share the fleet's budgets by who is there besides.")
   private boolean shares;
 
+  @Option(names = "--subsets", description = "Each asks a part of the hosts besides.")
+  private boolean subsets;
+
   /** Whether a night is asked for. */
   public boolean night() {
     return night != null;
@@ -64,7 +67,7 @@
 
   /** Whether the proxies are to do anything together. */
   public boolean together() {
-    return membership || shares;
+    return view() != Plan.View.NONE;
   }
 
   /** Tells what cannot be played, with at most so many proxies. */
@@ -82,7 +85,13 @@
         night == null
             ? Plan.drawn(seed, seconds, proxies(), hosts(), rate())
             : night.plan(seed, seconds, proxies(), hosts(), rate());
-    return plan.with(shares ? Plan.View.SHARES : membership ? Plan.View.MEMBERS : Plan.View.NONE);
+    return plan.with(view());
+  }
+
+  private Plan.View view() {
+    return subsets
+        ? Plan.View.SUBSETS
+        : shares ? Plan.View.SHARES : membership ? Plan.View.MEMBERS : Plan.View.NONE;
   }
 
   private int proxies() {
--- a/src/main/java/brassbank/sim/experiment/Variant.java
+++ b/src/main/java/brassbank/sim/experiment/Variant.java
@@ -10,12 +10,6 @@
 public record Variant(Plan.View view, int proxies, int hosts, double rate) {
   /** Its name in tables and files. */
   public String text() {
-    String together =
-        switch (view) {
-          case NONE -> "off";
-          case MEMBERS -> "membership";
-          case SHARES -> "shares";
-        };
-    return together + " " + proxies + "x" + hosts;
+    return view.key() + " " + proxies + "x" + hosts;
   }
 }
--- a/src/main/java/brassbank/sim/fault/Plan.java
+++ b/src/main/java/brassbank/sim/fault/Plan.java
@@ -25,11 +25,27 @@
     Numbers clients,
     View view) {
 
-  /** What the proxies do together: nothing, a view of the fleet, or budgets shared besides. */
+  /** What the proxies do together; each does what those before it do. */
   public enum View {
-    NONE,
-    MEMBERS,
-    SHARES
+    /** Nothing. */
+    NONE("off"),
+    /** They keep a view of the fleet. */
+    MEMBERS("membership"),
+    /** They share the fleet's budgets by who is there. */
+    SHARES("shares"),
+    /** Each asks a subset of the hosts. */
+    SUBSETS("subsets");
+
+    private final String key;
+
+    View(String key) {
+      this.key = key;
+    }
+
+    /** Its name in scripts and options. */
+    public String key() {
+      return key;
+    }
   }
 
   /** The usual day. */
@@ -62,6 +78,12 @@
   /** Descriptors with which no limit binds. */
   public static final int USUAL_SOCKETS = 1_024;
 
+  /** The usual number of proxies that ask a host, and what smaller fleets play with. */
+  private static final int ASKERS = 8;
+
+  private static final int FEW_ASKERS = 2;
+  private static final int ASKERS_FROM = 14;
+
   public Plan {
     faults = List.copyOf(faults);
   }
@@ -148,7 +170,22 @@
 
   /** Whether they share the fleet's budgets by who is there. */
   public boolean shares() {
-    return view == View.SHARES;
+    return view.compareTo(View.SHARES) >= 0;
+  }
+
+  /** Whether each asks a subset of the hosts. */
+  public boolean subsets() {
+    return view == View.SUBSETS;
+  }
+
+  /** By how many proxies a host is asked at least; in small fleets less than usual. */
+  public int askers() {
+    return proxies < ASKERS_FROM ? FEW_ASKERS : ASKERS;
+  }
+
+  /** The same on another number of hosts, no fewer than faults are aimed at. */
+  public Plan onHosts(int count) {
+    return new Plan(seed, seconds, proxies, count, rate, sockets, faults, clients, view);
   }
 
   /** The same with proxies that do this together. */
--- a/src/main/java/brassbank/sim/fault/Script.java
+++ b/src/main/java/brassbank/sim/fault/Script.java
@@ -68,6 +68,7 @@
             "clients",
             "membership",
             "shares",
+            "subsets",
             "fault"));
     int proxies = (int) whole(toml, "proxies", Plan.PROXIES, 1, MOST_MACHINES);
     int hosts = (int) whole(toml, "hosts", Plan.HOSTS, 1, MOST_MACHINES);
@@ -81,9 +82,7 @@
             (int) whole(toml, "sockets", Plan.USUAL_SOCKETS, LEAST_SOCKETS, MOST_SOCKETS),
             List.of(),
             clients(toml),
-            flag(toml, "shares")
-                ? Plan.View.SHARES
-                : flag(toml, "membership") ? Plan.View.MEMBERS : Plan.View.NONE);
+            view(toml));
     return plan.with(faults(toml, plan));
   }
 
@@ -95,6 +94,15 @@
     }
   }
 
+  /** The most that any of the flags asks for. */
+  private Plan.View view(TomlTable toml) throws ScriptException {
+    Plan.View most = Plan.View.NONE;
+    for (Plan.View view : Plan.View.values()) {
+      most = view != Plan.View.NONE && flag(toml, view.key()) ? view : most;
+    }
+    return most;
+  }
+
   private long whole(TomlTable table, String key, long absent, long least, long most)
       throws ScriptException {
     Object value = table.get(List.of(key));
@@ -226,7 +234,7 @@
     text.append("sockets = ").append(plan.sockets()).append('\n');
     text.append("clients = \"").append(plan.clients()).append("\"\n");
     if (plan.membership()) {
-      text.append(plan.shares() ? "shares = true\n" : "membership = true\n");
+      text.append(plan.view().key()).append(" = true\n");
     }
     for (Fault fault : plan.faults()) {
       text.append("\n[[fault]]\n");
--- a/src/main/java/brassbank/sim/proxy/ProxyNode.java
+++ b/src/main/java/brassbank/sim/proxy/ProxyNode.java
@@ -386,7 +386,7 @@
         told,
         name,
         rank,
-        machine.zone(),
+        told.zones().get(rank % told.zones().size()),
         machine.address().getHostAddress() + ":" + PORT,
         world.discovery().address(name, further),
         stream.bits(),
--- a/src/test/java/brassbank/ArchitectureTest.java
+++ b/src/test/java/brassbank/ArchitectureTest.java
@@ -226,6 +226,7 @@
             "ashspar.limits",
             "brassbank.lifecycle",
             "brassbank.log",
+            "brassbank.subsets",
             "brassbank.sources")
         .check(program);
     onlyKnows(
@@ -305,6 +306,8 @@
             "brassbank.log",
             "brassbank.sources")
         .check(program);
+    onlyKnows("brassbank.subsets").check(program);
+    isPure("brassbank.subsets").check(program);
     onlyKnows("brassbank.shares").check(program);
     isPure("brassbank.shares").check(program);
     onlyKnows("brassbank.shares.wire", "brassbank.shares", "brassbank.membership.wire")
--- a/src/test/java/brassbank/lab/LabIT.java
+++ b/src/test/java/brassbank/lab/LabIT.java
@@ -38,15 +38,18 @@
   private static final Lab.Watcher NOBODY = (lab, now) -> {};
   private static final Supplier<Hand> NONE = Nothing::new;
 
-  /** All of the lab's, one of membership's, one of shares'; the others of these take minutes. */
+  /**
+   * All of the lab's, one of membership's, one of subsets', which share too; the others of these
+   * take minutes.
+   */
   static Stream<Path> scripts() throws IOException {
     Path members = Path.of("src/test/resources/lab-members");
-    Path shares = Path.of("src/test/resources/lab-shares");
+    Path subsets = Path.of("src/test/resources/lab-subsets");
     try (Stream<Path> files = Files.list(SCRIPTS)) {
       return Stream.concat(
           Stream.of(
               members.resolve("one-of-five-is-killed.toml"),
-              shares.resolve("one-of-three-is-killed.toml")),
+              subsets.resolve("one-of-three-is-killed.toml")),
           files.sorted().toList().stream());
     }
   }
