Shares by demand: a seat's weight, bounded, and spent only once no other can count less

Need: a proxy that is sent eight times the clients of each other had one part like all. A seat now weighs what its process needs against the mean: as usual (4) within half to twice the mean, 1 to 16 beyond. Datagrams have version 2. Measured: all parts add up to at most 1 in mild and bad weather, 3 and 7 processes; spent at once they pass 1.01 (planted). Equal demand: the same parts as before, to the byte (SharesTest). Found on the way: in the bad weather of SeatsTest a fleet of five and more hardly ever has all its seats, so that a sum above 1 would not have been seen; the mild one has them most of the time. front-favours is a new kind for scripts.

--- a/src/main/java/brassbank/decide/Decider.java
+++ b/src/main/java/brassbank/decide/Decider.java
@@ -54,6 +54,7 @@
   private long now;
   private final Lifecycle lifecycle = new Lifecycle();
   private boolean listed;
+  private long taken;
 
   /** Null where all targets are this proxy's to ask. */
   private Subset subset;
@@ -98,6 +99,7 @@
             flow.retry(),
             false,
             flow.returning());
+    taken += flow.retry() || flow.returning() ? 0 : 1;
     Entry entry = new Entry(flow, request, now + request.left(), settings);
     ledger.enter(entry);
     alarms.set(entry.deadline + settings.rules().answerSlack(), Alarms.Kind.ANSWER_DUE, flow.id());
@@ -193,6 +195,11 @@
     return ledger.size();
   }
 
+  /** Flows that have come in so far, to be served for the first time. */
+  public long taken() {
+    return taken;
+  }
+
   /** Whether clients are taken: none is before any target is known. */
   public boolean admits() {
     return lifecycle.admits() && !group.isEmpty();
--- a/src/main/java/brassbank/fleet/Sharing.java
+++ b/src/main/java/brassbank/fleet/Sharing.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 
 /**
  * This program among those that share the fleet's budgets. It takes nothing from membership but
@@ -22,6 +23,7 @@
 final class Sharing {
   private final Seats seats;
   private final SeatCodec codec;
+  private final LongSupplier taken;
   private final Consumer<Part> told;
   private final SeatOutbox outbox;
   private Part last;
@@ -41,6 +43,7 @@
       BiConsumer<InetSocketAddress, byte[]> send) {
     seats = new Seats(SeatSettings.of(base), sharer.rank(), sharer.of(), process, now);
     codec = new SeatCodec(fleet);
+    taken = sharer.taken();
     told = sharer.told();
     outbox = (to, message) -> send.accept(to, codec.write(message));
   }
@@ -56,6 +59,7 @@
   }
 
   void beat(long now, boolean wants, View view) {
+    seats.taken(now, taken.getAsLong());
     seats.beat(now, wants && !view.displaced(), others(view), outbox);
     tell(now);
     leave(now, view);
--- a/src/main/java/brassbank/fleet/Told.java
+++ b/src/main/java/brassbank/fleet/Told.java
@@ -34,7 +34,7 @@
     view.members().forEach(member -> members.add(member(now, member)));
     json.add("members", members);
     if (sharing != null) {
-      json.add("share", share(sharing.part(now), sharing.seats()));
+      json.add("share", share(now, sharing.part(now), sharing.seats()));
     }
     JsonObject figures = new JsonObject();
     figures.addProperty("sent", traffic.sent());
@@ -61,13 +61,14 @@
     return json.toString();
   }
 
-  private static JsonObject share(Part part, Seats seats) {
+  private static JsonObject share(long now, Part part, Seats seats) {
     JsonObject json = new JsonObject();
     json.addProperty("part", part.part());
     json.addProperty("base", part.base());
     json.addProperty("seated", part.seated());
     json.addProperty("turn", part.turn());
     json.addProperty("of", part.of());
+    json.addProperty("weight", seats.weight(now));
     json.addProperty("rank_taken", seats.taken());
     json.addProperty("other_size", seats.refused());
     return json;
--- a/src/main/java/brassbank/proxy/Member.java
+++ b/src/main/java/brassbank/proxy/Member.java
@@ -27,7 +27,7 @@
             config.settings().zone() == null ? "" : config.settings().zone(),
             new Randomness(config.seed()).part("fleet of " + config.name()),
             () -> activity(decider),
-            joining.shares() ? sharer(config, dispatcher) : null);
+            joining.shares() ? sharer(config, decider, dispatcher) : null);
     if (joining.subsets()) {
       Peers peers = new Peers(net, dispatcher, fleet, config.name(), joining.askers());
       fleet.listen(change -> peers.changed());
@@ -38,10 +38,11 @@
     return fleet;
   }
 
-  private static Sharer sharer(Config config, Dispatcher dispatcher) {
+  private static Sharer sharer(Config config, Decider decider, Dispatcher dispatcher) {
     return new Sharer(
         config.settings().rank(),
         config.settings().nodes(),
+        decider::taken,
         part ->
             dispatcher.report(
                 new Happening.Shared(
--- a/src/main/java/brassbank/shares/Keeper.java
+++ b/src/main/java/brassbank/shares/Keeper.java
@@ -2,6 +2,7 @@
 
 import java.util.BitSet;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -22,11 +23,15 @@
   static final long LEAVING = 5_000_000;
 
   /** What a process has, and its last asking for it. */
-  private record Held(int rank, long process, int sequence, long until) {
+  private record Held(int rank, long process, int sequence, long until, int weight, int demand) {
     boolean by(long other) {
       return process == other;
     }
 
+    Held with(int heavy, int wanted) {
+      return new Held(rank, process, sequence, until, heavy, wanted);
+    }
+
     boolean asked(long by, int before) {
       return process == by && sequence <= before;
     }
@@ -55,12 +60,16 @@
   }
 
   /** Holds the rank's seat for the process from now on; false where another one has it. */
-  boolean hold(long now, int rank, long process, int sequence) {
-    Held next = next(seats.get(rank), now, rank, process, sequence, holds);
-    if (next != null) {
-      seats.put(rank, next);
+  boolean hold(long now, int rank, long process, int sequence, int weight, int demand) {
+    Held held = seats.get(rank);
+    Held next = next(held, now, rank, process, sequence, holds);
+    if (next == null) {
+      return false;
     }
-    return next != null;
+    // What comes late weighs nothing against what was asked for since.
+    boolean late = held != null && held.by(process) && held.sequence() > sequence;
+    seats.put(rank, late ? next.with(held.weight(), held.demand()) : next.with(weight, demand));
+    return true;
   }
 
   /** Lets the process go; false where another has the turn, which is {@link #leaver} then. */
@@ -75,7 +84,7 @@
       return null;
     }
     int last = held != null && held.by(process) ? Math.max(held.sequence(), sequence) : sequence;
-    return new Held(rank, process, last, now + length);
+    return new Held(rank, process, last, now + length, 0, 0);
   }
 
   /** The process has stopped spending with the seat that it had asked for by then. */
@@ -105,4 +114,14 @@
     seats.keySet().forEach(ranks::set);
     return ranks;
   }
+
+  /** What some of those seats weigh, in the order of their ranks. */
+  List<Integer> weights(BitSet ranks) {
+    return ranks.stream().mapToObj(rank -> seats.get(rank).weight()).toList();
+  }
+
+  /** Clients that come to all with a seat together, in ten seconds. */
+  int demand() {
+    return seats.values().stream().mapToInt(Held::demand).sum();
+  }
 }
--- a/src/main/java/brassbank/shares/Seat.java
+++ b/src/main/java/brassbank/shares/Seat.java
@@ -1,7 +1,9 @@
 package brassbank.shares;
 
 import java.util.BitSet;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -13,7 +15,12 @@
 final class Seat {
   private static final long NEVER = Long.MIN_VALUE;
 
-  private record Answer(long process, long askedAt, BitSet seats) {}
+  private record Answer(
+      long process, long askedAt, BitSet seats, List<Integer> weights, int demand) {
+    int weight(int rank) {
+      return seats.get(rank) ? weights.get(seats.get(0, rank).cardinality()) : 0;
+    }
+  }
 
   private final SeatSettings settings;
   private final int majority;
@@ -31,7 +38,8 @@
   }
 
   /** A keeper holds the seat, and has told which others it holds. */
-  void held(long now, int keeper, long process, long askedAt, BitSet seats) {
+  void held(long now, int keeper, long askedAt, SeatMessage answer) {
+    long process = answer.process();
     Answer known = answers.get(keeper);
     boolean other = known != null && known.process() != process && counts(known, now);
     if (other || disputed.getOrDefault(keeper, NEVER) > now) {
@@ -39,7 +47,8 @@
       answers.remove(keeper);
       disputed.put(keeper, now + settings.holds());
     } else if (known == null || askedAt > known.askedAt()) {
-      answers.put(keeper, new Answer(process, askedAt, seats));
+      answers.put(
+          keeper, new Answer(process, askedAt, answer.seats(), answer.weights(), answer.demand()));
     }
     boolean gap = now >= heldUntil;
     heldUntil = until();
@@ -87,4 +96,22 @@
     }
     return all;
   }
+
+  /** What a rank's seat weighs at most, by any answer that counts now. */
+  int weight(long now, int rank) {
+    return answers.values().stream()
+        .filter(answer -> counts(answer, now))
+        .mapToInt(answer -> answer.weight(rank))
+        .max()
+        .orElse(0);
+  }
+
+  /** Clients in ten seconds at the mean process with a seat, as the last answer tells; or NaN. */
+  double meanDemand(long now) {
+    return answers.values().stream()
+        .filter(answer -> counts(answer, now) && !answer.seats().isEmpty())
+        .max(Comparator.comparingLong(Answer::askedAt))
+        .map(answer -> (double) answer.demand() / answer.seats().cardinality())
+        .orElse(Double.NaN);
+  }
 }
--- a/src/main/java/brassbank/shares/SeatMessage.java
+++ b/src/main/java/brassbank/shares/SeatMessage.java
@@ -1,6 +1,8 @@
 package brassbank.shares;
 
 import java.util.BitSet;
+import java.util.Collections;
+import java.util.List;
 
 /**
  * What processes say to each other of seats.
@@ -11,11 +13,32 @@
  * @param sequence ties an answer to its asking
  * @param seats ranks that have a seat with the sender, in {@link Kind#HELD}; who leaves, in {@link
  *     Kind#OTHER_LEAVES}; else empty
+ * @param weights of those seats in the order of their ranks, in HELD; else empty
+ * @param weight of the seat that is asked for, from 1 to {@link #MOST_WEIGHT}
+ * @param demand clients that come to the asker in ten seconds; in HELD to all with a seat together
  */
-public record SeatMessage(Kind kind, long process, int rank, int of, int sequence, BitSet seats) {
+public record SeatMessage(
+    Kind kind,
+    long process,
+    int rank,
+    int of,
+    int sequence,
+    BitSet seats,
+    List<Integer> weights,
+    int weight,
+    int demand) {
   /** Ranks that one fleet may have. */
   public static final int MOST_RANKS = 256;
 
+  /** What a seat weighs whose process has about as many clients as others. */
+  public static final int USUAL_WEIGHT = 4;
+
+  /** Nobody's part is more than four times the usual one's. */
+  public static final int MOST_WEIGHT = 16;
+
+  /** Of one process; a fleet's sum has room in four bytes. */
+  public static final int MOST_DEMAND = 1_000_000;
+
   /** What is said. */
   public enum Kind {
     /** Asks for the sender's seat. */
@@ -40,5 +63,29 @@
     if (of < 1 || of > MOST_RANKS || rank < 0 || rank >= of || seats.length() > of) {
       throw new IllegalArgumentException("rank " + rank + " of " + of);
     }
+    weights = List.copyOf(weights);
+    if (weights.size() != (kind == Kind.HELD ? seats.cardinality() : 0)
+        || weight < 1
+        || weight > MOST_WEIGHT
+        || demand < 0
+        || weights.stream().anyMatch(one -> one < 1 || one > MOST_WEIGHT)) {
+      throw new IllegalArgumentException("weights " + weight + " and " + weights);
+    }
+  }
+
+  /** One whose seats weigh as usual. */
+  public SeatMessage(Kind kind, long process, int rank, int of, int sequence, BitSet seats) {
+    this(
+        kind,
+        process,
+        rank,
+        of,
+        sequence,
+        seats,
+        kind == Kind.HELD
+            ? Collections.nCopies(seats.cardinality(), USUAL_WEIGHT)
+            : Collections.emptyList(),
+        USUAL_WEIGHT,
+        0);
   }
 }
--- a/src/main/java/brassbank/shares/SeatSettings.java
+++ b/src/main/java/brassbank/shares/SeatSettings.java
@@ -9,8 +9,10 @@
  * @param counts an answer counts for so long from when it was asked for (V)
  * @param holds a keeper holds a seat for so long from the asking's arrival (H)
  * @param waits a seat is spent with once it was held for so long without a gap (W)
+ * @param weighs it is spent with the least weight that it was asked for with in so long
  */
-public record SeatSettings(double base, long period, long counts, long holds, long waits) {
+public record SeatSettings(
+    double base, long period, long counts, long holds, long waits, long weighs) {
   private static final long MILLI = 1_000;
 
   /** The base where the file says nothing: what it costs and brings stands in docs/shares.md. */
@@ -20,13 +22,14 @@
     if (!(base > 0 && base <= 1)) {
       throw new IllegalArgumentException("a base is above 0 and at most 1, not " + base);
     }
-    if (period <= 0 || counts < period || holds <= 0 || waits < 0) {
+    if (period <= 0 || counts < period || holds <= 0 || waits < 0 || weighs < 0) {
       throw new IllegalArgumentException("times that cannot be");
     }
   }
 
   /** The usual times. */
   public static SeatSettings of(double base) {
-    return new SeatSettings(base, 300 * MILLI, 1_200 * MILLI, 2_600 * MILLI, 1_400 * MILLI);
+    return new SeatSettings(
+        base, 300 * MILLI, 1_200 * MILLI, 2_600 * MILLI, 1_400 * MILLI, 3_000 * MILLI);
   }
 }
--- a/src/main/java/brassbank/shares/Seats.java
+++ b/src/main/java/brassbank/shares/Seats.java
@@ -21,7 +21,7 @@
   /** Askings whose answers may still count, and some more. */
   private static final int REMEMBERED = 64;
 
-  private record Asked(int sequence, long at) {}
+  private record Asked(int sequence, long at, int weight) {}
 
   private final SeatSettings settings;
   private final int rank;
@@ -29,6 +29,7 @@
   private final long process;
   private final Keeper keeper;
   private final Seat seat;
+  private final Demand demand;
   private final Deque<Asked> asked = new ArrayDeque<>();
 
   /** What each address said of its rank; those that are no keepers need not be asked. */
@@ -58,9 +59,15 @@
     this.process = process;
     keeper = new Keeper(settings.holds(), now);
     seat = new Seat(settings, keepers());
+    demand = new Demand(now);
     nextAsk = now;
   }
 
+  /** So many clients have come to this process in all: what it asks for follows from that. */
+  public void taken(long now, long clients) {
+    demand.look(now, clients);
+  }
+
   /**
    * Asks again where that is due.
    *
@@ -76,22 +83,44 @@
       return;
     }
     nextAsk = now + settings.period();
-    asked.addLast(new Asked(next(), now));
+    int weight = demand.weight(now, seat.meanDemand(now));
+    asked.addLast(new Asked(next(), now, weight));
     if (asked.size() > REMEMBERED) {
       asked.removeFirst();
     }
     ranks.keySet().retainAll(others);
-    SeatMessage ask = message(Kind.ASK, sequence, new BitSet());
+    SeatMessage ask =
+        new SeatMessage(
+            Kind.ASK, process, rank, of, sequence, new BitSet(), List.of(), weight, demand.count());
     for (InetSocketAddress other : others) {
       if (ranks.getOrDefault(other, 0) < MOST_KEEPERS) {
         out.send(other, ask);
       }
     }
-    if (rank < MOST_KEEPERS && keeper.speaks(now) && keeper.hold(now, rank, process, sequence)) {
-      seat.held(now, rank, process, now, keeper.seats(now));
+    if (rank < MOST_KEEPERS && keeper.speaks(now) && holds(now, ask)) {
+      seat.held(now, rank, now, held(now, sequence));
     }
   }
 
+  private boolean holds(long now, SeatMessage ask) {
+    return keeper.hold(now, ask.rank(), ask.process(), ask.sequence(), ask.weight(), ask.demand());
+  }
+
+  /** The answer of this keeper. */
+  private SeatMessage held(long now, int sequence) {
+    BitSet seats = keeper.seats(now);
+    return new SeatMessage(
+        Kind.HELD,
+        process,
+        rank,
+        of,
+        sequence,
+        seats,
+        keeper.weights(seats),
+        SeatMessage.USUAL_WEIGHT,
+        keeper.demand());
+  }
+
   private int next() {
     return ++sequence;
   }
@@ -189,7 +218,7 @@
       case HELD -> {
         Asked mine = asked(message.sequence());
         if (mine != null && message.rank() < MOST_KEEPERS && message.seats().get(rank)) {
-          seat.held(now, message.rank(), message.process(), mine.at(), message.seats());
+          seat.held(now, message.rank(), mine.at(), message);
         }
       }
       case TAKEN -> taken++;
@@ -231,11 +260,10 @@
       // It learns from this that it need not ask here again.
       out.send(from, message(Kind.TAKEN, message.sequence(), new BitSet()));
     } else if (keeper.speaks(now)) {
-      boolean held = keeper.hold(now, message.rank(), message.process(), message.sequence());
       out.send(
           from,
-          held
-              ? message(Kind.HELD, message.sequence(), keeper.seats(now))
+          holds(now, message)
+              ? held(now, message.sequence())
               : message(Kind.TAKEN, message.sequence(), new BitSet()));
     }
   }
@@ -258,7 +286,20 @@
     BitSet counted = seat.counted(now);
     int seats = counted.cardinality();
     int turn = counted.get(0, rank).cardinality();
-    return new Part(base + (1 - settings.base()) / seats, base, turn, seats, seat.heldUntil());
+    int own = weight(now);
+    int all = Math.max(0, own - seat.weight(now, rank));
+    all += counted.stream().map(other -> seat.weight(now, other)).sum();
+    double rest = (1 - settings.base()) * own / all;
+    return new Part(base + rest, base, turn, seats, seat.heldUntil());
+  }
+
+  /** What its seat is spent with: no more than others may still count it for. */
+  public int weight(long now) {
+    return asked.stream()
+        .filter(one -> one.at() > now - settings.weighs())
+        .mapToInt(Asked::weight)
+        .min()
+        .orElse(1);
   }
 
   /** Messages that came from a fleet of another size. */
--- a/src/main/java/brassbank/shares/wire/SeatCodec.java
+++ b/src/main/java/brassbank/shares/wire/SeatCodec.java
@@ -6,18 +6,21 @@
 import brassbank.shares.SeatMessage;
 import java.nio.BufferUnderflowException;
 import java.nio.ByteBuffer;
+import java.util.ArrayList;
 import java.util.BitSet;
+import java.util.List;
 
 /**
  * Writes and reads what one fleet says of seats. Big-endian: mark {@code B5A8}, version, kind; the
  * fleet's name (FNV-1a, 8 bytes); process 8; rank 2; ranks 2; sequence 4; length 1 and bytes of the
- * seats' bits, at most 32; CRC-32C of all before. Any thread may use one codec.
+ * seats' bits, at most 32; weight 1; demand 4; one byte for each seat's weight, in {@code HELD};
+ * CRC-32C of all before. Any thread may use one codec.
  */
 public final class SeatCodec {
   private static final short MARK = (short) 0xB5A8;
-  private static final byte VERSION = 1;
+  private static final byte VERSION = 2;
   private static final int CHECKSUM = 4;
-  private static final int FIXED = 4 + 8 + 8 + 2 + 2 + 4 + 1;
+  private static final int FIXED = 4 + 8 + 8 + 2 + 2 + 4 + 1 + 1 + 4;
   private static final int MOST_SEATS = SeatMessage.MOST_RANKS / 8;
   private static final SeatMessage.Kind[] KINDS = SeatMessage.Kind.values();
 
@@ -34,10 +37,12 @@
 
   public byte[] write(SeatMessage message) {
     byte[] seats = message.seats().toByteArray();
-    ByteBuffer to = ByteBuffer.allocate(FIXED + seats.length + CHECKSUM);
+    ByteBuffer to = ByteBuffer.allocate(FIXED + seats.length + message.weights().size() + CHECKSUM);
     to.putShort(MARK).put(VERSION).put((byte) message.kind().ordinal()).putLong(fleet);
     to.putLong(message.process()).putShort((short) message.rank()).putShort((short) message.of());
     to.putInt(message.sequence()).put((byte) seats.length).put(seats);
+    to.put((byte) message.weight()).putInt(message.demand());
+    message.weights().forEach(weight -> to.put(weight.byteValue()));
     to.putInt(Frame.checksum(to.array(), to.position()));
     return to.array();
   }
@@ -46,7 +51,9 @@
   public SeatMessage read(byte[] bytes) throws RefusedException {
     int end = bytes.length - CHECKSUM;
     ByteBuffer from = ByteBuffer.wrap(bytes);
-    if (end < FIXED || end > FIXED + MOST_SEATS || from.getShort() != MARK) {
+    if (end < FIXED
+        || end > FIXED + MOST_SEATS + SeatMessage.MOST_RANKS
+        || from.getShort() != MARK) {
       throw new RefusedException(Refused.FOREIGN, bytes.length + " bytes that are no message");
     }
     if (from.getInt(end) != Frame.checksum(bytes, end)) {
@@ -71,10 +78,18 @@
       int sequence = from.getInt();
       byte[] seats = new byte[Math.max(0, from.get())];
       from.get(seats);
+      BitSet ranks = BitSet.valueOf(seats);
+      int weight = from.get();
+      int demand = from.getInt();
+      List<Integer> weights = new ArrayList<>();
+      while (weights.size() < ranks.cardinality() && KINDS[kind] == SeatMessage.Kind.HELD) {
+        weights.add((int) from.get());
+      }
       if (from.hasRemaining()) {
         throw malformed(from.remaining() + " bytes after its end");
       }
-      return new SeatMessage(KINDS[kind], process, rank, of, sequence, BitSet.valueOf(seats));
+      return new SeatMessage(
+          KINDS[kind], process, rank, of, sequence, ranks, weights, weight, demand);
     } catch (BufferUnderflowException e) {
       throw malformed("ends before its end");
     } catch (IllegalArgumentException e) {
--- a/src/main/java/brassbank/sim/actor/Front.java
+++ b/src/main/java/brassbank/sim/actor/Front.java
@@ -38,6 +38,7 @@
     final InetSocketAddress address;
     int life;
     boolean admitted;
+    double favour = 1;
 
     Entry(String name, Machine machine, InetSocketAddress address) {
       this.name = name;
@@ -108,7 +109,16 @@
       }
     }
     List<Entry> from = near.isEmpty() ? all : near;
-    return from.isEmpty() ? null : chance.pick(from).address;
+    if (from.stream().allMatch(entry -> entry.favour == 1)) {
+      return from.isEmpty() ? null : chance.pick(from).address;
+    }
+    double[] favours = from.stream().mapToDouble(entry -> entry.favour).toArray();
+    return from.get(chance.pick(favours)).address;
+  }
+
+  /** Sends a proxy so many times as many clients as the others get, each. */
+  public void favour(String name, double times) {
+    entries.get(name).favour = times;
   }
 
   /** The name of the proxy at an address. */
--- a/src/main/java/brassbank/sim/fault/LinkKinds.java
+++ b/src/main/java/brassbank/sim/fault/LinkKinds.java
@@ -118,6 +118,17 @@
             0,
             (stage, fault) -> starve(stage, fault, 0),
             NOTHING),
+        new FaultKind(
+            "front-favours",
+            "a proxy is sent so many times as many clients as each other",
+            FaultKind.On.PROXY,
+            1_000,
+            10_000,
+            2,
+            8,
+            0,
+            (stage, fault) -> stage.world().front().favour(fault.target(), fault.size()),
+            (stage, fault) -> stage.world().front().favour(fault.target(), 1)),
         new FaultKind(
             "proxies-hang-up-damaged",
             "SIGHUP to all proxies with a file that breaks off in the middle",
--- a/src/test/java/brassbank/shares/SeatsTest.java
+++ b/src/test/java/brassbank/shares/SeatsTest.java
@@ -36,12 +36,15 @@
     private final Seats[] processes;
     private final Part[] parts;
     private final long[] away;
+    private final long[] clients;
+    private final int[] perBeat;
     private final boolean[] dead;
     private final boolean[] wants;
     private final long[][] cutUntil;
     private long now = 7 * SECOND;
     private double most;
     private boolean calm;
+    private boolean mild;
     private int stops;
 
     Weather(long seed, int fleet, SeatSettings settings) throws Exception {
@@ -50,6 +53,8 @@
       processes = new Seats[fleet];
       parts = new Part[fleet];
       away = new long[fleet];
+      clients = new long[fleet];
+      perBeat = new int[fleet];
       dead = new boolean[fleet];
       wants = new boolean[fleet];
       cutUntil = new long[fleet][fleet];
@@ -115,6 +120,8 @@
         Part part = parts[i];
         sum += part == null ? 0 : now < part.until() || !part.seated() ? part.part() : part.base();
         if ((now / MILLI + i * 37) % 100 == 0) {
+          clients[i] += perBeat[i];
+          processes[i].taken(now, clients[i]);
           processes[i].beat(now, wants[i], others(i), from(i));
           parts[i] = processes[i].part(now);
         }
@@ -126,7 +133,17 @@
       int i = random.nextInt(processes.length);
       int j = random.nextInt(processes.length);
       int what = random.nextInt(4_000);
-      if (what < 3) {
+      if (mild) {
+        // Seats are held most of the time, and what they weigh changes.
+        if (what == 0) {
+          away[i] = now + random.nextLong(2 * SECOND);
+          stops++;
+        } else if (what < 3) {
+          cutUntil[i][j] = now + random.nextLong(3 * SECOND);
+        } else if (what < 5) {
+          perBeat[i] = random.nextInt(3) == 0 ? 40 : 1;
+        }
+      } else if (what < 3) {
         away[i] = now + random.nextLong(6 * SECOND);
         stops++;
       } else if (what < 4) {
@@ -196,7 +213,12 @@
             3,
             usual ->
                 new SeatSettings(
-                    usual.base(), usual.period(), usual.counts(), 100 * MILLI, usual.waits()));
+                    usual.base(),
+                    usual.period(),
+                    usual.counts(),
+                    100 * MILLI,
+                    usual.waits(),
+                    usual.weighs()));
     assertThat(most).isGreaterThan(1.01);
   }
 
@@ -208,7 +230,8 @@
    */
   private static boolean countsOneThatWanders(long holds) {
     SeatSettings settings =
-        new SeatSettings(USUAL.base(), USUAL.period(), USUAL.counts(), holds, USUAL.waits());
+        new SeatSettings(
+            USUAL.base(), USUAL.period(), USUAL.counts(), holds, USUAL.waits(), USUAL.weighs());
     Keeper[] keepers = new Keeper[3];
     for (int k = 0; k < 3; k++) {
       keepers[k] = new Keeper(holds, -10 * SECOND);
@@ -239,8 +262,10 @@
 
   private static void ask(Seat seat, int rank, int keeper, Keeper[] keepers, long millis) {
     long now = millis * MILLI;
-    assertThat(keepers[keeper].hold(now, rank, rank, 1)).isTrue();
-    seat.held(now, keeper, keeper, now, keepers[keeper].seats(now));
+    assertThat(keepers[keeper].hold(now, rank, rank, 1, 4, 0)).isTrue();
+    BitSet seats = keepers[keeper].seats(now);
+    seat.held(
+        now, keeper, now, new SeatMessage(SeatMessage.Kind.HELD, keeper, keeper, 3, 1, seats));
   }
 
   @Test
@@ -256,7 +281,13 @@
             40,
             3,
             usual ->
-                new SeatSettings(usual.base(), usual.period(), usual.counts(), usual.holds(), 0));
+                new SeatSettings(
+                    usual.base(),
+                    usual.period(),
+                    usual.counts(),
+                    usual.holds(),
+                    0,
+                    usual.weighs()));
     assertThat(most).isGreaterThan(1.01);
   }
 
@@ -276,6 +307,53 @@
     assertThat(weather.used()).isCloseTo(1, within(1e-9));
   }
 
+  /** Processes that live long enough to know what they need, which changes all the time. */
+  private static double worstOfMild(int fleet, long weighs) throws Exception {
+    double most = 0;
+    for (int seed = 1; seed <= 20; seed++) {
+      SeatSettings settings =
+          new SeatSettings(
+              USUAL.base(), USUAL.period(), USUAL.counts(), USUAL.holds(), USUAL.waits(), weighs);
+      Weather weather = new Weather(seed, fleet, settings);
+      weather.mild = true;
+      while (weather.now < 87 * SECOND) {
+        weather.step();
+      }
+      most = Math.max(most, weather.most);
+    }
+    return most;
+  }
+
+  @Test
+  void weightsThatChangeAddUpInAnyWeather() throws Exception {
+    assertThat(worstOfMild(3, USUAL.weighs())).isLessThanOrEqualTo(1 + 1e-9);
+    assertThat(worstOfMild(7, USUAL.weighs())).isLessThanOrEqualTo(1 + 1e-9);
+  }
+
+  /** With the newest weight in place of the least that others may still count. */
+  @Test
+  void aWeightThatIsSpentAtOnceIsFound() throws Exception {
+    assertThat(worstOfMild(3, USUAL.period() + 1)).isGreaterThan(1.01);
+  }
+
+  @Test
+  void whoHasManyTimesTheClientsHasUpToFourTimesTheUsualWeight() throws Exception {
+    Weather weather = new Weather(1, 14, USUAL);
+    java.util.Arrays.fill(weather.perBeat, 1);
+    weather.calm(20 * SECOND);
+    assertThat(weather.parts[5].part()).isCloseTo(1 / 14.0, within(1e-9));
+    weather.perBeat[5] = 8;
+    weather.calm(25 * SECOND);
+    // Thirteen weigh four each, as usual, and one sixteen.
+    assertThat(weather.parts[5].part())
+        .isCloseTo(0.25 / 14 + 0.75 * 16 / (13 * 4 + 16), within(1e-9));
+    assertThat(weather.used()).isCloseTo(1, within(1e-9));
+    weather.perBeat[5] = 1;
+    weather.calm(25 * SECOND);
+    assertThat(weather.parts[5].part()).isCloseTo(1 / 14.0, within(1e-9));
+    assertThat(weather.most).isLessThanOrEqualTo(1 + 1e-9);
+  }
+
   @Test
   void whoLeavesGivesItsSeatBackAtOnce() throws Exception {
     Weather weather = new Weather(1, 5, USUAL);
