--- a/src/main/java/brassbank/lab/Lateness.java
+++ b/src/main/java/brassbank/lab/Lateness.java
@@ -31,8 +31,11 @@
 
   /** A task of the lab's ran so many microseconds late. */
   void ran(long now, long micros) {
+    if (now < FROM) {
+      return;
+    }
     histogram.recordValue(Math.min(micros, LARGEST_MICROS));
-    if (now >= FROM && micros > most) {
+    if (micros > most) {
       most = micros;
       mostAt = now;
     }
--- a/src/main/java/brassbank/sim/fault/Night.java
+++ b/src/main/java/brassbank/sim/fault/Night.java
@@ -13,6 +13,12 @@
  * must not. Unlike {@link Plan#drawn}, the faults belong together.
  */
 public enum Night {
+  /** Nothing happens: what a fleet costs by itself. */
+  CALM {
+    @Override
+    void draw(Site site) {}
+  },
+
   /** Ten of fourteen proxies are killed at once during a release, while discovery is overbooked. */
   HERD {
     @Override
