--- a/src/main/java/brassbank/discovery/Discovery.java
+++ b/src/main/java/brassbank/discovery/Discovery.java
@@ -11,6 +11,7 @@
 import com.google.gson.JsonParseException;
 import com.google.gson.JsonParser;
 import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
@@ -33,6 +34,13 @@
   /** Short against the 6 s after which a change counts as told, whether it arrived or not. */
   private static final long LONGEST_PAUSE_MICROS = 1_000_000;
 
+  /**
+   * Calls of one kind begin no sooner after one another, but for the pauses after failures: where
+   * operators say twice within a moment that discovery has moved, and an upgrade is under way, the
+   * proxy called it nine times within a second.
+   */
+  private static final long APART_MICROS = 600_000;
+
   /** Far more than a list of targets needs. */
   private static final int LONGEST_LIST = 1 << 20;
 
@@ -172,6 +180,10 @@
         });
   }
 
+  private long now() {
+    return TimeUnit.NANOSECONDS.toMicros(net.clock().nanos());
+  }
+
   private static TargetList read(String line) {
     try {
       return TargetList.parse(JsonParser.parseString(line).getAsJsonObject());
@@ -190,6 +202,7 @@
     private Call call;
     private Loop.Timer pause;
     private long wait = FIRST_PAUSE_MICROS;
+    private long opened = Long.MIN_VALUE / 2;
 
     Asking(Supplier<Call> calls) {
       this.calls = calls;
@@ -197,12 +210,18 @@
 
     void start() {
       if (call == null && pause == null) {
-        open();
+        long soonest = opened + APART_MICROS - now();
+        if (soonest <= 0) {
+          open();
+        } else {
+          pause = net.loop().after(soonest + chance.nextLong(FIRST_PAUSE_MICROS), this::open);
+        }
       }
     }
 
     private void open() {
       pause = null;
+      opened = now();
       call = calls.get();
       call.start(address, CONNECT_MICROS, ANSWER_MICROS, SILENCE_MICROS);
     }
--- a/src/test/java/brassbank/ArchitectureTest.java
+++ b/src/test/java/brassbank/ArchitectureTest.java
@@ -255,7 +255,8 @@
             "brassbank.forward",
             "brassbank.decide",
             "brassbank.net",
-            "brassbank.log")
+            "brassbank.log",
+            "brassbank.sources")
         .check(program);
     onlyKnows("brassbank.sim.time").check(program);
     onlyKnows("brassbank.sim.net", "brassbank.sim.time").check(program);
