Module: without a subset no server's tier is looked at in a pick

Need: a subset costs nothing while off; a pick asked each server that it looked at for its zone and report.

--- a/src/main/java/ashspar/Admission.java
+++ b/src/main/java/ashspar/Admission.java
@@ -43,9 +43,10 @@
     return any.isEmpty() ? null : any.get(node.random.nextInt(any.size()));
   }
 
-  /** By whom a server is tried: a subset costs no place, and what is unknown comes last. */
-  int tier(Server s) {
-    return Reach.tier(s.own || warmth(s) < 1, node.weights.nearness(s) == 1, known(s));
+  /** Whether a server may be tried by now: a subset costs no place, what is unknown comes last. */
+  boolean within(Server s, int tier) {
+    return tier == Reach.LAST
+        || Reach.tier(s.own || warmth(s) < 1, node.weights.nearness(s) == 1, known(s)) <= tier;
   }
 
   private boolean known(Server s) {
--- a/src/main/java/ashspar/Wheels.java
+++ b/src/main/java/ashspar/Wheels.java
@@ -102,7 +102,7 @@
         s.place = null;
         s.parked = true;
         parked.add(s);
-      } else if (node.admission.tier(s) <= tier && node.admission.allowed(h, s, again)) {
+      } else if (node.admission.within(s, tier) && node.admission.allowed(h, s, again)) {
         first = looks++ == 0 ? turn.at() : first;
         double liking = node.limits.liking(s.limits, group) * node.weights.nearness(s);
         double at = turn.at() - early * liking;
