Rules: connects and set-ups a second at one stream host, by all proxies together

Need: only probes were bounded over the fleet at one host; connects and set-ups grow with proxies too. One rule class for the three.

--- /dev/null
+++ b/src/main/java/brassbank/sim/check/HostPace.java
@@ -0,0 +1,85 @@
+package brassbank.sim.check;
+
+import brassbank.sim.event.Event;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * All proxies together ask one stream host, connect to it or set sessions up there no more often
+ * than so many times a second: some for each proxy, and some for the flows that came meanwhile,
+ * since a flow that has failed at a host may have it asked, and one that goes there needs a
+ * connection. Flows that waited for a host may all go there at once when it is back.
+ */
+final class HostPace extends Rule {
+  /** A flow waits for a host no longer than its deadline. */
+  private static final long WAITS = 5 * SECOND;
+
+  /** What is counted, and by what it is bounded. */
+  enum Of {
+    /** Seen of one proxy in a second, without flows that fail: 3. */
+    PROBES("probes", "was asked", 4, 0.5, SECOND),
+    CONNECTS("connects", "was connected to", 8, 1, WAITS),
+    SETUPS("set-ups", "was sent flows", 4, 1, WAITS);
+
+    private final String name;
+    private final String done;
+    private final int eachProxy;
+    private final double eachFlow;
+    private final long meanwhile;
+
+    Of(String name, String done, int eachProxy, double eachFlow, long meanwhile) {
+      this.name = name;
+      this.done = done;
+      this.eachProxy = eachProxy;
+      this.eachFlow = eachFlow;
+      this.meanwhile = meanwhile;
+    }
+  }
+
+  private final Of of;
+  private final Checks.Figures figures;
+  private final Map<String, Window> counts = new HashMap<>();
+  private final Window flows;
+
+  HostPace(Of of, Checks.Figures figures) {
+    super(of.name + " a second at one stream host");
+    this.of = of;
+    flows = new Window(of.meanwhile);
+    this.figures = figures;
+  }
+
+  @Override
+  void see(long now, Event event) {
+    if (event instanceof Event.FlowSent) {
+      flows.add(now);
+    } else if (of == Of.PROBES && event instanceof Event.ProbeArrived probe) {
+      // What was held up on its way, and arrives all at once, is not counted.
+      if (now - probe.calmSince() > SECOND) {
+        count(now, probe.host(), probe.proxy());
+      }
+    } else if (of == Of.CONNECTS && event instanceof Event.HostConnected connected) {
+      count(now, connected.host(), connected.proxy());
+    } else if (of == Of.SETUPS && event instanceof Event.AttemptArrived attempt) {
+      count(now, attempt.host(), attempt.proxy());
+    }
+  }
+
+  private void count(long now, String host, String proxy) {
+    int count = counts.computeIfAbsent(host, h -> new Window()).add(now);
+    int most = of.eachProxy * figures.proxies() + (int) (of.eachFlow * flows.count(now));
+    if (count > most) {
+      broken(
+          now,
+          host
+              + " "
+              + of.done
+              + " "
+              + count
+              + " times within a second, last by "
+              + proxy
+              + ", and "
+              + most
+              + " are allowed");
+    }
+  }
+}
--- a/src/test/java/brassbank/sim/PlantedBug.java
+++ b/src/test/java/brassbank/sim/PlantedBug.java
@@ -83,6 +83,9 @@
   /** A stream host is asked the same thirty times over. */
   PROBE_STORM("probes a second", ProbeStorm::new),
 
+  /** For each connection thirty more are made, and closed. */
+  CONNECT_STORM("connects a second", ConnectStorm::new),
+
   /** Each call to discovery is made as if nobody had to wait for it. */
   CALL_STORM("calls a second", CallStorm::new),
 
@@ -583,6 +586,30 @@
     }
   }
 
+  private static final class ConnectStorm extends Wrapped {
+    ConnectStorm(Network real) {
+      super(real);
+    }
+
+    @Override
+    public Attempt connect(InetSocketAddress address, Connected then) {
+      for (int i = 0; i < 30; i++) {
+        real.connect(
+            address,
+            new Connected() {
+              @Override
+              public void up(Channel channel) {
+                channel.close();
+              }
+
+              @Override
+              public void failed(IOException cause) {}
+            });
+      }
+      return super.connect(address, then);
+    }
+  }
+
   private static final class CallStorm extends Wrapped {
     CallStorm(Network real) {
       super(real);
--- /dev/null
+++ b/src/test/java/brassbank/sim/check/HostPaceTest.java
@@ -0,0 +1,44 @@
+package brassbank.sim.check;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import brassbank.sim.event.Event;
+import java.lang.reflect.Proxy;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class HostPaceTest {
+  /** Three proxies; nobody asks for the truth. */
+  private static Checks checks() {
+    Checks.Figures figures = new Checks.Figures(50_000, 400_000, 4, 3, 12, 2, 0, false, 0.5);
+    Truth unasked =
+        (Truth)
+            Proxy.newProxyInstance(
+                Truth.class.getClassLoader(),
+                new Class<?>[] {Truth.class},
+                (proxy, method, arguments) -> {
+                  throw new IllegalStateException(method.getName());
+                });
+    return new Checks(List.of(new HostPace(HostPace.Of.SETUPS, figures)), unasked);
+  }
+
+  private static int broken(int setups, int flows) {
+    Checks checks = checks();
+    for (int i = 0; i < flows; i++) {
+      checks.see(1_000_000, new Event.FlowSent("c" + i + ".0", "c" + i, "n0", 1_000));
+    }
+    for (int i = 0; i < setups; i++) {
+      checks.see(
+          1_000_000 + i, new Event.AttemptArrived("d" + i + ".0", "s-1", "n0", 1_000_000, false));
+    }
+    return checks.breaches().size();
+  }
+
+  @Test
+  void setUpsAtOneHostAreBoundedByProxiesAndFlows() {
+    assertThat(broken(12, 0)).isZero();
+    assertThat(broken(13, 0)).isPositive();
+    assertThat(broken(17, 5)).isZero();
+    assertThat(broken(18, 5)).isPositive();
+  }
+}
