--- a/src/main/java/brassbank/sim/Scene.java
+++ b/src/main/java/brassbank/sim/Scene.java
@@ -111,7 +111,7 @@
             demand(site));
     List<Rule> rules = new ArrayList<>(Checks.all(figures));
     if (plan.membership()) {
-      rules.addAll(Checks.ofMembership(figures));
+      rules.addAll(Checks.ofMembership(figures, plan.shares()));
       rules.addAll(plan.shares() ? Checks.ofShares(figures) : List.of());
       rules.addAll(plan.subsets() ? Checks.ofSubsets(figures) : List.of());
       joined = new Joined(fabric, proxies);
--- a/src/main/java/brassbank/sim/check/Checks.java
+++ b/src/main/java/brassbank/sim/check/Checks.java
@@ -56,13 +56,13 @@
   }
 
   /** Those that a fleet with a view of itself has beside them. */
-  public static List<Rule> ofMembership(Figures figures) {
+  public static List<Rule> ofMembership(Figures figures, boolean shares) {
     return List.of(
         new DeathsNoticed(figures),
         new NoFalseDeath(),
         new ViewsAgree(figures),
         new ViewsGrow(),
-        new MembershipPace());
+        new MembershipPace(figures, shares));
   }
 
   /** Those that a fleet has besides whose proxies share its budgets. */
