--- a/src/test/java/brassbank/FleetIT.java
+++ b/src/test/java/brassbank/FleetIT.java
@@ -152,7 +152,7 @@
     assertThat(Files.readString(folder.resolve("off.log")))
         .contains("brassbank.net.Net source")
         .doesNotContain("brassbank.membership", "brassbank.shares", "org.apache.commons.math3")
-        .doesNotContain("brassbank.fleet")
+        .doesNotContain("brassbank.fleet", "brassbank.subsets", "org.apache.commons.codec")
         .doesNotContain("Datagram");
     // Nobody has the port for datagrams.
     new DatagramSocket(port, InetAddress.getLoopbackAddress()).close();
