Discovery: a change is known 6 s after silence though the next call hangs

Seen: a watch that falls silent is noticed after 3 s, renewed within 0.15 s, and a call that then hangs is given up after 3.5 s: 6.65 s, and only then is it asked again. At fault were three constants that nobody had added up. Ruled out: the queue at discovery, whose calls end in 503 after 3 s and were none; SIGHUP. Change: Waits holds the times and their sums. Silence is 2.5 s (an empty line comes every 2 s); a call that has not begun to answer after 1.5 s gets a second one beside it, and the first to begin goes on; not while discovery turns calls away. Grizzly's HTTP filter tells of an answer only with its content, so that a quiet watch looked like one that hangs: its head is told now. Tests: WatchTest (real program; the hung call and the indented object fail without the change), WaitsTest adds up the worst cases, ObjectLinesTest.

--- a/src/main/java/brassbank/discovery/Call.java
+++ b/src/main/java/brassbank/discovery/Call.java
@@ -17,17 +17,19 @@
 
   /** Who is told of the answer. */
   interface Listener {
-    void line(String line);
+    /** The answer has begun, which a call that hangs never tells. Told once, if at all. */
+    void begun(Call call);
+
+    void line(Call call, String line);
 
     /** The call is over: {@code why} is empty where its answer came whole. Told once. */
-    void ended(String why);
+    void ended(Call call, String why);
   }
 
   private final Net net;
   private final String path;
   private final LineBuffer buffer = new LineBuffer(LONGEST_LINE);
   private Listener listener;
-  private long silenceMicros;
   private Network.Attempt attempt;
   private Loop.Timer limit;
 
@@ -37,10 +39,9 @@
     this.listener = listener;
   }
 
-  void start(InetSocketAddress to, long connectMicros, long answerMicros, long silence) {
-    silenceMicros = silence;
-    limit = net.loop().after(answerMicros, () -> fail("no answer in time"));
-    attempt = net.get(to, path, connectMicros, this);
+  void start(InetSocketAddress to) {
+    limit = net.loop().after(Waits.ANSWER, () -> fail("no answer in time"));
+    attempt = net.get(to, path, Waits.CONNECT, this);
   }
 
   @Override
@@ -57,7 +58,7 @@
     Listener told = listener;
     cancel();
     if (told != null) {
-      told.ended(why);
+      told.ended(this, why);
     }
   }
 
@@ -68,6 +69,20 @@
     attempt.cancel();
   }
 
+  @Override
+  public void begun(int status) {
+    if (listener != null && status == OK) {
+      heard();
+      listener.begun(this);
+    }
+  }
+
+  /** Silence is counted anew. */
+  private void heard() {
+    limit.cancel();
+    limit = net.loop().after(Waits.SILENCE, () -> fail("silent"));
+  }
+
   @Override
   public void content(int status, ByteBuffer bytes, boolean last) {
     if (listener == null) {
@@ -77,8 +92,7 @@
       fail("status " + status);
       return;
     }
-    limit.cancel();
-    limit = net.loop().after(silenceMicros, () -> fail("silent"));
+    heard();
     buffer.append(bytes);
     if (last) {
       buffer.append(StandardCharsets.US_ASCII.encode("\n"));
@@ -86,7 +100,7 @@
     for (String line = buffer.nextLine();
         line != null && listener != null;
         line = buffer.nextLine()) {
-      listener.line(line);
+      listener.line(this, line);
     }
     if (buffer.overlong()) {
       fail("a line that is too long");
--- a/src/main/java/brassbank/discovery/Discovery.java
+++ b/src/main/java/brassbank/discovery/Discovery.java
@@ -22,33 +22,14 @@
 public final class Discovery implements Dispatcher.Group {
   private static final Log LOG = Log.of("discovery");
 
-  /** An empty line comes every 2 s: a watch that is silent for longer than this is lost. */
-  private static final long SILENCE_MICROS = 3_000_000;
-
-  /** Discovery itself fails a call that has waited for 3 s; a half-open one never answers. */
-  private static final long ANSWER_MICROS = 3_500_000;
-
-  private static final long CONNECT_MICROS = 1_000_000;
-  private static final long FIRST_PAUSE_MICROS = 100_000;
-
-  /** Short against the 6 s after which a change counts as told, whether it arrived or not. */
-  private static final long LONGEST_PAUSE_MICROS = 1_000_000;
-
-  /**
-   * Calls of one kind begin no sooner after one another, but for the pauses after failures: where
-   * operators say twice within a moment that discovery has moved, and an upgrade is under way, the
-   * proxy called it nine times within a second.
-   */
-  private static final long APART_MICROS = 600_000;
-
   /** Far more than a list of targets needs. */
   private static final int LONGEST_LIST = 1 << 20;
 
   private final Net net;
   private final Dispatcher dispatcher;
   private final RandomGenerator chance;
-  private final Asking watching = new Asking(this::watch);
-  private final Asking listing = new Asking(this::list);
+  private final Asking watching = new Asking(this::watch, true);
+  private final Asking listing = new Asking(this::list, false);
   private InetSocketAddress address;
   private long index;
 
@@ -115,26 +96,34 @@
         net,
         "/api/targets?follow=1&since=" + index,
         new Call.Listener() {
+          private final ObjectLines objects = new ObjectLines();
+
           @Override
-          public void line(String line) {
-            if (!line.isBlank()) {
-              take(line);
+          public void begun(Call call) {
+            watching.begun(call);
+          }
+
+          @Override
+          public void line(Call call, String line) {
+            String object = objects.line(line);
+            if (object != null) {
+              take(call, object);
             }
           }
 
           @Override
-          public void ended(String why) {
+          public void ended(Call call, String why) {
             LOG.warn("watch-ended", value("reason", why));
-            watching.again();
+            watching.ended(call, why);
           }
         });
   }
 
-  private void take(String line) {
-    TargetList list = read(line);
+  private void take(Call call, String object) {
+    TargetList list = read(object);
     if (list == null || (!list.whole() && list.index() < index)) {
       lost();
-      watching.call.fail(list == null ? "a line that is no list" : "older than the list");
+      call.fail(list == null ? "a line that is no list" : "older than the list");
       return;
     }
     gap &= !list.whole();
@@ -154,14 +143,19 @@
         "/api/targets",
         new Call.Listener() {
           @Override
-          public void line(String line) {
+          public void begun(Call call) {
+            listing.begun(call);
+          }
+
+          @Override
+          public void line(Call call, String line) {
             if (body.length() + line.length() <= LONGEST_LIST) {
               body.append(line);
             }
           }
 
           @Override
-          public void ended(String why) {
+          public void ended(Call call, String why) {
             TargetList list = why.isEmpty() ? read(body.toString()) : null;
             if (list != null && list.index() >= index) {
               gap = false;
@@ -172,7 +166,7 @@
             LOG.warn("list-missing", value("reason", why));
             dispatcher.report(new Happening.FetchFailed());
             if (gap) {
-              listing.again();
+              listing.ended(call, why);
             } else {
               listing.stop();
             }
@@ -194,51 +188,102 @@
   }
 
   /**
-   * One kind of call, never two at once, made again after its failures with growing pauses and some
-   * chance, since all proxies share one discovery. It owns the call and the pause.
+   * One kind of call, made again after its failures with growing pauses and some chance, since all
+   * proxies share one discovery. Where a call says nothing for long, a second one is made beside it
+   * and whichever is answered first goes on; not while discovery itself turns calls away, which it
+   * does where too many wait. It owns the calls and the pause.
    */
   private final class Asking {
     private final Supplier<Call> calls;
+
+    /** Whether a call that hangs is worth a second one: what else would bring the news in time. */
+    private final boolean twice;
+
     private Call call;
+    private Call beside;
     private Loop.Timer pause;
-    private long wait = FIRST_PAUSE_MICROS;
+    private Loop.Timer hanging;
+    private boolean turnedAway;
+    private long wait = Waits.FIRST_PAUSE;
     private long opened = Long.MIN_VALUE / 2;
 
-    Asking(Supplier<Call> calls) {
+    Asking(Supplier<Call> calls, boolean twice) {
       this.calls = calls;
+      this.twice = twice;
     }
 
     void start() {
       if (call == null && pause == null) {
-        long soonest = opened + APART_MICROS - now();
+        long soonest = opened + Waits.APART - now();
         if (soonest <= 0) {
           open();
         } else {
-          pause = net.loop().after(soonest + chance.nextLong(FIRST_PAUSE_MICROS), this::open);
+          pause = net.loop().after(soonest + chance.nextLong(Waits.FIRST_PAUSE), this::open);
         }
       }
     }
 
     private void open() {
       pause = null;
+      call = made();
+      if (twice && !turnedAway) {
+        hanging = net.loop().after(Waits.BESIDE, () -> beside = made());
+      }
+    }
+
+    private Call made() {
       opened = now();
-      call = calls.get();
-      call.start(address, CONNECT_MICROS, ANSWER_MICROS, SILENCE_MICROS);
+      Call made = calls.get();
+      made.start(address);
+      return made;
+    }
+
+    /** The answer to one of the calls has begun: it goes on, and any other is given up. */
+    void begun(Call by) {
+      notHanging();
+      Call other = by == call ? beside : call;
+      if (other != null) {
+        other.cancel();
+      }
+      call = by;
+      beside = null;
     }
 
-    void again() {
-      call = null;
+    private void notHanging() {
+      if (hanging != null) {
+        hanging.cancel();
+        hanging = null;
+      }
+    }
+
+    /** A call has failed; where another is out, that one is waited for. */
+    void ended(Call by, String why) {
+      turnedAway = why.startsWith("status");
+      if (by == call) {
+        call = beside;
+      }
+      beside = null;
+      if (call != null) {
+        return;
+      }
+      notHanging();
       long micros = wait / 2 + chance.nextLong(wait);
-      wait = Math.min(LONGEST_PAUSE_MICROS, 2 * wait);
+      wait = Math.min(Waits.LONGEST_PAUSE, 2 * wait);
       pause = net.loop().after(micros, this::open);
     }
 
     void worked() {
-      wait = FIRST_PAUSE_MICROS;
+      wait = Waits.FIRST_PAUSE;
+      turnedAway = false;
     }
 
-    /** The one place where a call and a pause are given up. */
+    /** The one place where calls and a pause are given up. */
     void stop() {
+      notHanging();
+      if (beside != null) {
+        beside.cancel();
+        beside = null;
+      }
       if (call != null) {
         call.cancel();
         call = null;
@@ -247,7 +292,7 @@
         pause.cancel();
         pause = null;
       }
-      wait = FIRST_PAUSE_MICROS;
+      worked();
     }
   }
 }
--- a/src/main/java/brassbank/grizzly/Call.java
+++ b/src/main/java/brassbank/grizzly/Call.java
@@ -2,6 +2,7 @@
 
 import brassbank.net.Network;
 import java.net.InetSocketAddress;
+import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChain;
@@ -11,6 +12,7 @@
 import org.glassfish.grizzly.filterchain.TransportFilter;
 import org.glassfish.grizzly.http.HttpClientFilter;
 import org.glassfish.grizzly.http.HttpContent;
+import org.glassfish.grizzly.http.HttpHeader;
 import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.http.HttpResponsePacket;
 import org.glassfish.grizzly.http.Method;
@@ -39,7 +41,7 @@
     FilterChain chain =
         FilterChainBuilder.stateless()
             .add(new TransportFilter())
-            .add(new HttpClientFilter())
+            .add(new Head())
             .add(new Content())
             .build();
     dial.start(transport, chain, address);
@@ -103,6 +105,17 @@
     }
   }
 
+  /** The HTTP filter, which by itself tells of an answer only once content has come. */
+  private final class Head extends HttpClientFilter {
+    @Override
+    protected boolean onHttpHeaderParsed(HttpHeader head, Buffer buffer, FilterChainContext ctx) {
+      if (answer != null) {
+        answer.begun(((HttpResponsePacket) head).getStatus());
+      }
+      return super.onHttpHeaderParsed(head, buffer, ctx);
+    }
+  }
+
   /** The end of the chain: takes the parts of the answer as the HTTP filter finds them. */
   private final class Content extends BaseFilter {
     @Override
--- a/src/main/java/brassbank/net/Net.java
+++ b/src/main/java/brassbank/net/Net.java
@@ -279,6 +279,11 @@
                     Loop.guarded(answer::connected);
                   }
 
+                  @Override
+                  public void begun(int status) {
+                    Loop.guarded(() -> answer.begun(status));
+                  }
+
                   @Override
                   public void content(int status, ByteBuffer bytes, boolean last) {
                     Loop.guarded(() -> answer.content(status, bytes, last));
--- a/src/main/java/brassbank/net/Network.java
+++ b/src/main/java/brassbank/net/Network.java
@@ -61,6 +61,9 @@
     /** The connection is up and the call is being sent. */
     void connected();
 
+    /** The answer has begun: its head has come, and content may follow at any time. */
+    void begun(int status);
+
     /**
      * A part of the answer's content, in order and without any transfer coding; the bytes are valid
      * during the call only.
--- a/src/main/java/brassbank/sim/proxy/HttpCall.java
+++ b/src/main/java/brassbank/sim/proxy/HttpCall.java
@@ -204,12 +204,15 @@
       } else if (name.equals("content-length")) {
         left = Long.parseLong(value);
       }
-    } else if (chunked) {
-      part = Part.CHUNK_SIZE;
-    } else if (left == 0) {
-      content(new byte[0], 0, 0, true);
     } else {
-      part = left > 0 ? Part.COUNTED : Part.UNTIL_END;
+      network.turn(() -> answer.begun(status));
+      if (chunked) {
+        part = Part.CHUNK_SIZE;
+      } else if (left == 0) {
+        content(new byte[0], 0, 0, true);
+      } else {
+        part = left > 0 ? Part.COUNTED : Part.UNTIL_END;
+      }
     }
   }
 
--- a/src/test/java/brassbank/Site.java
+++ b/src/test/java/brassbank/Site.java
@@ -17,10 +17,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.UnaryOperator;
 
 /** The program as a process, and what it speaks to: targets and discovery, on free ports. */
@@ -39,6 +41,9 @@
     volatile String stats = "PONG x0=0.1,x1=0,throughput=2,errors_per_s=0\r\n";
     volatile UnaryOperator<String> answer = line -> "UP r-1\r\n";
 
+    /** So many probes are ended without an answer once their question has come. */
+    final AtomicInteger refusedProbes = new AtomicInteger();
+
     Target(String name) throws IOException {
       this.name = name;
       socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
@@ -62,6 +67,10 @@
         Peer peer = new Peer(connection);
         String line = peer.line();
         for (; line != null && line.equals("STATS"); line = peer.line()) {
+          if (refusedProbes.getAndUpdate(left -> Math.max(0, left - 1)) > 0) {
+            peer.close();
+            return;
+          }
           probes.add(peer.send(stats));
         }
         if (line != null && line.startsWith("OPEN")) {
@@ -156,12 +165,38 @@
     return "127.0.0.1:" + discovery.getAddress().getPort();
   }
 
+  /** Discovery is down: its watches end, and new calls are refused; returns its port. */
+  int discoveryDown() {
+    HttpServer discovery = discoveries.remove(0);
+    discovery.stop(0);
+    return discovery.getAddress().getPort();
+  }
+
+  /** It is back at its port. */
+  void discoveryUp(int port) throws IOException {
+    HttpServer discovery = HttpServer.create(new InetSocketAddress("127.0.0.1", port), 50);
+    discovery.setExecutor(threads);
+    discovery.createContext("/api/targets", watches::add);
+    discovery.start();
+    discoveries.add(discovery);
+  }
+
   Target target(String name) throws IOException {
     Target target = new Target(name);
     targets.add(target);
     return target;
   }
 
+  /** The settings of the configuration, to be changed before the program starts. */
+  JsonObject settings() {
+    return config.getAsJsonObject("settings");
+  }
+
+  /** The settings of the class that {@link #client} asks for. */
+  JsonObject preview() {
+    return settings().getAsJsonArray("profiles").get(0).getAsJsonObject();
+  }
+
   /** Starts the program with these targets known, and waits until it admits clients. */
   Site start(Target... known) throws IOException, InterruptedException {
     config.add("known", JsonParser.parseString(list(1, true, "SERVING", known)));
@@ -284,6 +319,53 @@
     signal("HUP");
   }
 
+  static long millisSince(long nanos) {
+    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - nanos);
+  }
+
+  static void await(CountDownLatch latch) {
+    try {
+      if (!latch.await(Peer.LIMIT_MILLIS, TimeUnit.MILLISECONDS)) {
+        throw new AssertionError("what was waited for has not come");
+      }
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  /** How the class that {@link #client} asks for may be repeated. */
+  void repeats(String effect, String group, long windowMillis) {
+    preview().addProperty("effect", effect);
+    preview().addProperty("group", group);
+    preview().addProperty("window", windowMillis * 1000);
+  }
+
+  /**
+   * The proxy has one thread: once a later connection is answered, it has read what came before.
+   */
+  void heardAll() throws IOException {
+    try (Peer bad = Peer.to(address).send("GET /\r\n")) {
+      String line = bad.line();
+      if (line == null || !line.startsWith("ERR")) {
+        throw new AssertionError("a bad client was told " + line);
+      }
+    }
+  }
+
+  /** Waits for a line of the program's log with this in it; null where none came in time. */
+  String logged(String part) throws IOException, InterruptedException {
+    long start = System.nanoTime();
+    while (millisSince(start) < Peer.LIMIT_MILLIS) {
+      for (String line : Files.readAllLines(log())) {
+        if (line.contains(part)) {
+          return line;
+        }
+      }
+      Thread.sleep(5);
+    }
+    return null;
+  }
+
   Path log() {
     return file.resolveSibling(file.getFileName() + ".log");
   }
--- a/src/test/java/brassbank/sim/PlantedBug.java
+++ b/src/test/java/brassbank/sim/PlantedBug.java
@@ -414,6 +414,11 @@
               answer.connected();
             }
 
+            @Override
+            public void begun(int status) {
+              answer.begun(status);
+            }
+
             @Override
             public void content(int status, ByteBuffer bytes, boolean last) {
               ByteBuffer copy = ByteBuffer.allocate(bytes.remaining()).put(bytes).flip();
@@ -457,6 +462,11 @@
               answer.connected();
             }
 
+            @Override
+            public void begun(int status) {
+              answer.begun(status);
+            }
+
             @Override
             public void content(int status, ByteBuffer bytes, boolean last) {
               look(StandardCharsets.ISO_8859_1.decode(bytes.duplicate()).toString());
@@ -625,6 +635,9 @@
               @Override
               public void connected() {}
 
+              @Override
+              public void begun(int status) {}
+
               @Override
               public void content(int status, ByteBuffer bytes, boolean last) {}
 
