What may have run is told to repeat, and sent again, only as its class allows

Seen in reading, and by tests on the real program: (1) when a planned stop's time is up, or an answer is overdue, Decider.refuse told every flow BUSY, also one whose line is out at a host that hangs; a client of a single-shot class then repeats what may have run. (2) A guarded repeat was decided within its window, and its line sent whenever the connect came up, up to the dial's time-out later. (3) One that waited for room waited to its deadline though its window was over. (4) UP without a receipt was passed on as served; an answer that came before our line was written counted as the line's. Change: the module answers what is given up (Balancer.giveUp): what is out may have run. Rule 2's times are one place, Held.sendBy, and a forward carries until when its line may be sent. UP needs its receipt.

--- a/src/main/java/ashspar/Balancer.java
+++ b/src/main/java/ashspar/Balancer.java
@@ -39,6 +39,9 @@
   /** The client has left, or its request is overdue: nothing more is owed. */
   void lapsed(long now, long id);
 
+  /** The node can hold a request no longer: it is answered now, as what may have run allows. */
+  void giveUp(long now, long id);
+
   /** A timer set through {@link Actions#timer} is due. */
   void timer(long now, long token);
 
--- a/src/main/java/ashspar/Held.java
+++ b/src/main/java/ashspar/Held.java
@@ -1,11 +1,12 @@
 package ashspar;
 
 import ashspar.Balancer.Effect;
+import ashspar.Balancer.Group;
 import ashspar.Balancer.Request;
 import ashspar.Balancer.RequestClass;
 import ashspar.limits.WaitingRoom;
-import java.util.ArrayList;
-import java.util.List;
+import java.util.LinkedHashSet;
+import java.util.Set;
 
 /** A request or connection this node holds. */
 final class Held {
@@ -33,7 +34,7 @@
   long ranSent;
   long sentAt;
   double load;
-  final List<Server> tried = new ArrayList<>(2);
+  final Set<Server> tried = new LinkedHashSet<>(2);
 
   Held(Request request, RequestClass type, int mostAttempts, long deadline) {
     this.request = request;
@@ -43,18 +44,18 @@
     this.load = request.hint();
   }
 
+  /** Rule 2: until when it may be sent; after an attempt that may have run, while it is dropped. */
+  long sendBy() {
+    long dropped = type.effect() == Effect.GUARDED ? ranSent + type.window() : ranSent;
+    return ranAt == null || type.effect() == Effect.FREE ? deadline : Math.min(deadline, dropped);
+  }
+
   /** Rule 2: after an attempt that may have run, only where its repeat is dropped, and in time. */
   boolean sharesMemory(Server s, long now) {
     if (ranAt == null || type.effect() == Effect.FREE) {
       return true;
     }
-    if (type.effect() == Effect.SINGLE_SHOT || now - ranSent >= type.window()) {
-      return false;
-    }
-    return switch (type.group()) {
-      case ALL -> true;
-      case ZONE -> s.zone != null && s.zone.equals(ranAt.zone);
-      case CELL -> s.zone != null && s.zone.equals(ranAt.zone) && s.cell == ranAt.cell;
-    };
+    boolean near = type.group() == Group.ALL || (s.zone != null && s.zone.equals(ranAt.zone));
+    return now < sendBy() && near && (type.group() != Group.CELL || s.cell == ranAt.cell);
   }
 }
--- a/src/main/java/ashspar/Policy.java
+++ b/src/main/java/ashspar/Policy.java
@@ -6,6 +6,7 @@
 import ashspar.limits.Shedding;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.ToDoubleFunction;
 
 /**
@@ -101,7 +102,7 @@
   /** Sends a request to the next server in turn, or lets it wait for one, or answers it. */
   private void place(Held h) {
     h.awaited = 0;
-    long left = h.deadline - node.now - node.settings.tick();
+    long left = h.sendBy() - node.now - node.settings.tick();
     if (left <= 0
         || h.attempts >= h.mostAttempts
         || (h.attempts > 0 && !node.limits.retries.allows(node.now))
@@ -144,9 +145,7 @@
     node.limits.sent(node.now, s.limits, h.attempts++ > 0);
     h.at = s;
     h.sentAt = node.now;
-    if (!h.tried.contains(s)) {
-      h.tried.add(s);
-    }
+    h.tried.add(s);
     node.actions.send(h.request.id(), s.id, Math.min(h.deadline, node.now + patience(h)));
     return true;
   }
@@ -168,9 +167,10 @@
   }
 
   private void answer(Held h) {
-    forget(h);
+    boolean never = h.ranAt == null && h.at == null; // what is out may run
     boolean dropped = h.type.effect() == Effect.GUARDED && h.type.group() == Group.ALL;
-    if (h.ranAt == null || h.type.effect() == Effect.FREE || dropped) {
+    forget(h);
+    if (never || h.type.effect() == Effect.FREE || dropped) {
       node.actions.refuse(h.request.id(), comeBack(h));
     } else {
       node.actions.fail(h.request.id());
@@ -311,21 +311,25 @@
       node.probing.quiesce(was);
       node.probing.probe(was);
     }
-    boolean inTime = h.type.effect() == Effect.GUARDED && at - h.ranSent < h.type.window();
-    if (h.ranAt == null || h.type.effect() == Effect.FREE || inTime) {
-      place(h);
-    } else {
-      answer(h);
-    }
+    place(h);
     release();
   }
 
   @Override
   public void lapsed(long at, long id) {
+    end(at, id, this::forget);
+  }
+
+  @Override
+  public void giveUp(long at, long id) {
+    end(at, id, this::answer);
+  }
+
+  private void end(long at, long id, Consumer<Held> how) {
     node.now = at;
     Held h = node.requests.get(id);
     if (h != null) {
-      forget(h);
+      how.accept(h);
       release();
     }
   }
@@ -343,7 +347,7 @@
       release();
     } else {
       Held h = node.requests.get(token - TOKEN_REQUEST);
-      boolean due = h != null && h.deadline - node.now <= node.settings.tick();
+      boolean due = h != null && h.sendBy() - node.now <= node.settings.tick();
       if (h != null && h.at == null && (due || h.awaited > 0)) {
         place(h);
       }
@@ -445,16 +449,14 @@
   public void servers(long at, ListKind kind, List<ServerEntry> entries) {
     node.now = at;
     Balancer.require(kind != null && entries != null, "a list needs a kind and entries");
-    if (kind == ListKind.FAILED) {
-      if (node.settings.asks()) {
-        node.actions.timer(watchWait / 2 + node.random.nextLong(watchWait), TOKEN_WATCH);
-        watchWait = Math.min(16 * SECOND, 2 * watchWait);
-      }
-      return;
+    if (kind != ListKind.FAILED) {
+      watchWait = kind == ListKind.CACHED ? watchWait : 2 * SECOND;
+      fleet.take(kind, entries);
+      measure();
+      release();
+    } else if (node.settings.asks()) {
+      node.actions.timer(watchWait / 2 + node.random.nextLong(watchWait), TOKEN_WATCH);
+      watchWait = Math.min(16 * SECOND, 2 * watchWait);
     }
-    watchWait = kind == ListKind.CACHED ? watchWait : 2 * SECOND;
-    fleet.take(kind, entries);
-    measure();
-    release();
   }
 }
--- a/src/main/java/brassbank/decide/Decider.java
+++ b/src/main/java/brassbank/decide/Decider.java
@@ -309,6 +309,9 @@
       }
       return;
     }
+    if (!ending.status.neverRan) {
+      entry.mayHaveRun();
+    }
     module.outcome(
         now,
         new Balancer.Outcome(
@@ -327,7 +330,7 @@
     entry.target = target;
     entry.sentAt = now;
     alarms.set(until, Alarms.Kind.FORWARD_DUE, entry.flow.id(), entry.forwards);
-    out.add(new Decision.Forward(entry.flow.id(), target, until));
+    out.add(new Decision.Forward(entry.flow.id(), target, until, entry.sendBy()));
   }
 
   // --------------------------- connections that were open before this proxy
@@ -416,7 +419,7 @@
         // Guards the one rule that no client may break for us: an answer before it gives up.
         if (entry.stage != Entry.Stage.UP) {
           LOG.warn("deadline-passed", flow(entry.flow.id()));
-          refuse(entry);
+          giveUp(entry);
         }
       }
       case UNANSWERED -> {
@@ -442,17 +445,25 @@
     }
   }
 
-  /** Ends a flow that has no answer without the module. */
-  private void refuse(Entry entry) {
-    ledger.close(entry);
+  /**
+   * Answers a flow that is held no longer. The module says how: one whose forward may have run must
+   * not be told that trying again is harmless, unless it is.
+   */
+  private void giveUp(Entry entry) {
     if (entry.flow.at() == null) {
-      module.lapsed(now, entry.flow.id());
+      module.giveUp(now, entry.flow.id());
     }
+    if (ledger.get(entry.flow.id()) != entry) {
+      return;
+    }
+    // A connection that was open before this proxy is none of the module's.
+    ledger.close(entry);
     if (entry.stage == Entry.Stage.OUT) {
       out.add(new Decision.Cancel(entry.flow.id()));
-      outcome(entry, Ending.CANCELLED, true);
+      out.add(new Decision.Fail(entry.flow.id()));
+    } else {
+      out.add(new Decision.FixedResponse(entry.flow.id(), retryMillis()));
     }
-    out.add(new Decision.FixedResponse(entry.flow.id(), retryMillis()));
   }
 
   /** Who leaves knows when its clients reach another proxy; else no better time is known. */
@@ -519,7 +530,7 @@
     if (entry.stage == Entry.Stage.UP) {
       moveAway(entry);
     } else {
-      refuse(entry);
+      giveUp(entry);
     }
   }
 
--- a/src/main/java/brassbank/decide/Decision.java
+++ b/src/main/java/brassbank/decide/Decision.java
@@ -3,8 +3,13 @@
 /** What is to be done now, in the order given. A decision that names no flow concerns the proxy. */
 public sealed interface Decision {
 
-  /** Send the flow to this target and wait for its answer until then (this facade's clock). */
-  record Forward(long flow, Target target, long until) implements Decision {}
+  /**
+   * Send the flow to this target and wait for its answer (times of this facade's clock).
+   *
+   * @param until the answer is waited for
+   * @param sendBy the line is sent, or not at all
+   */
+  record Forward(long flow, Target target, long until, long sendBy) implements Decision {}
 
   /** Final answer: not served, and trying again is harmless; after {@code retryMillis} if not 0. */
   record FixedResponse(long flow, long retryMillis) implements Decision {}
--- a/src/main/java/brassbank/decide/Entry.java
+++ b/src/main/java/brassbank/decide/Entry.java
@@ -24,6 +24,10 @@
   int forwards;
   Target target;
   long sentAt;
+
+  /** When the first forward was sent that may have run; Long.MAX_VALUE while none may have. */
+  private long ranSentAt = Long.MAX_VALUE;
+
   long askedAt;
 
   /** As the target told it last. */
@@ -39,6 +43,23 @@
     this.settings = settings;
   }
 
+  /** The forward that was out has ended, and may have run. */
+  void mayHaveRun() {
+    ranSentAt = Math.min(ranSentAt, sentAt);
+  }
+
+  /**
+   * Until when a line may still be sent: a repeat that is decided in time may wait for its connect
+   * past the window within which targets drop it.
+   */
+  long sendBy() {
+    return settings.classes().stream()
+        .filter(c -> c.name().equals(flow.flowClass()) && c.effect() == Balancer.Effect.GUARDED)
+        .mapToLong(c -> ranSentAt == Long.MAX_VALUE ? deadline : ranSentAt + c.window())
+        .findAny()
+        .orElse(deadline);
+  }
+
   /** The module's number of the last forward; a resumed connection is 0, however often tried. */
   int attempt() {
     return flow.at() != null ? 0 : forwards - 1;
--- a/src/main/java/brassbank/forward/Dispatcher.java
+++ b/src/main/java/brassbank/forward/Dispatcher.java
@@ -205,7 +205,7 @@
     if (decision instanceof Decision.Forward forward) {
       Session session = sessions.get(forward.flow());
       if (session != null) {
-        session.forward(forward.target(), forward.until());
+        session.forward(forward);
       }
     } else if (decision instanceof Decision.Cancel cancel) {
       Session session = sessions.get(cancel.flow());
@@ -273,19 +273,21 @@
       }
     }
 
-    void forward(Target to, long until) {
+    void forward(Decision.Forward decided) {
       waits(false);
-      target = to.name();
-      forward =
-          new Forward(
-              net,
-              flow,
-              to,
-              () -> client.opening(Math.max(0, (until - clock.now()) / MILLI)),
-              this);
+      target = decided.target().name();
+      forward = new Forward(net, flow, decided.target(), () -> opening(decided), this);
       // A connect that is given up with its forward never came up: that is told just before.
-      long left = Math.max(0, until - clock.now() - MILLI);
-      forward.start(Math.min(connectMicros, left));
+      long left = Math.min(decided.until() - MILLI, decided.sendBy()) - clock.now();
+      forward.start(Math.min(connectMicros, Math.max(0, left)));
+    }
+
+    /** The first line, or null where it must not be sent any longer. */
+    private String opening(Decision.Forward decided) {
+      long now = clock.now();
+      return now > decided.sendBy()
+          ? null
+          : client.opening(Math.max(0, (decided.until() - now) / MILLI));
     }
 
     @Override
--- a/src/main/java/brassbank/forward/Forward.java
+++ b/src/main/java/brassbank/forward/Forward.java
@@ -38,7 +38,10 @@
   private boolean sent;
   private boolean over;
 
-  /** {@code opening} gives the first line once the connection is up: its time runs till then. */
+  /**
+   * {@code opening} gives the first line once the connection is up, since its time runs till then;
+   * or null where it is too late to send it.
+   */
   Forward(Net net, long flow, Target target, Supplier<String> opening, Listener listener) {
     this.net = net;
     this.flow = flow;
@@ -54,9 +57,13 @@
   @Override
   public void up(Link connected) {
     link = connected;
-    String line = opening.get() + "\r\n";
+    String line = opening.get();
+    if (line == null) {
+      end(Ending.CONNECT_FAILED);
+      return;
+    }
     // Only a line whose last byte has been written may have run.
-    link.send(line.getBytes(StandardCharsets.ISO_8859_1), () -> sent = true);
+    link.send((line + "\r\n").getBytes(StandardCharsets.ISO_8859_1), () -> sent = true);
   }
 
   @Override
@@ -67,7 +74,11 @@
   @Override
   public void received(Link from) {
     String line = link.buffer().nextLine();
-    if (link.buffer().overlong()) {
+    if (!sent) {
+      // Whatever this answers, it is not our line, which never goes out now.
+      LOG.warn("answer-early", flow(flow), target(target.name()));
+      end(Ending.CONNECT_FAILED);
+    } else if (link.buffer().overlong()) {
       LOG.warn("answer-overlong", flow(flow), target(target.name()));
       end(Ending.ERROR);
     } else if (line != null) {
@@ -79,19 +90,26 @@
     int space = line.indexOf(' ');
     switch (space < 0 ? line : line.substring(0, space)) {
       case "UP" -> {
+        if (line.length() <= "UP ".length()) {
+          // Without a receipt no stream host has served: it is not to be passed off as that.
+          bad(line);
+          return;
+        }
         over = true;
         listener.up(line, link);
       }
       case "BUSY" -> end(Ending.BUSY);
       case "MOVE" -> end(Ending.CANCELLED);
       case "ERR" -> end(Ending.ERROR);
-      default -> {
-        LOG.warn("answer-bad", flow(flow), target(target.name()), value("line", line));
-        end(Ending.ERROR);
-      }
+      default -> bad(line);
     }
   }
 
+  private void bad(String line) {
+    LOG.warn("answer-bad", flow(flow), target(target.name()), value("line", line));
+    end(Ending.ERROR);
+  }
+
   @Override
   public void ended(Link from, boolean reset) {
     end(sent ? Ending.RESET : Ending.CONNECT_FAILED);
--- a/src/test/java/ashspar/FaultyBalancer.java
+++ b/src/test/java/ashspar/FaultyBalancer.java
@@ -96,6 +96,9 @@
   @Override
   public void lapsed(long now, long id) {}
 
+  @Override
+  public void giveUp(long now, long id) {}
+
   @Override
   public void timer(long now, long token) {}
 
--- a/src/test/java/brassbank/ProxyTest.java
+++ b/src/test/java/brassbank/ProxyTest.java
@@ -71,7 +71,16 @@
   }
 
   @ParameterizedTest
-  @ValueSource(strings = {"ERR\r\n", "BUSY\r\n", "MOVE\r\n", "nonsense \u0001\r\n"})
+  @ValueSource(
+      strings = {
+        "ERR\r\n",
+        "BUSY\r\n",
+        "MOVE\r\n",
+        "nonsense \u0001\r\n",
+        "UP\r\n",
+        "UP \r\n",
+        "up r-1\r\n"
+      })
   void triesAnotherTargetWhereOneDoesNotServe(String answer) throws Exception {
     Site.Target bad = site.target("s-1");
     Site.Target good = site.target("s-2");
