Front: a connection's phase is one named state, and resting ones end properly

Seen: PING before any target is known, and a first line before PONG: the flow was taken, and PONG came as its answer, since the wait for PONG asked the link and not what the connection was at. Three booleans' worth of states (greeted, open, answered) are one Phase now; a line before PONG is one too many. At a stop's very end resting connections are read once more and ended, where the exit reset those with bytes unread.

--- a/src/main/java/brassbank/front/Front.java
+++ b/src/main/java/brassbank/front/Front.java
@@ -8,9 +8,11 @@
 import brassbank.net.Link;
 import brassbank.net.Loop;
 import brassbank.net.Net;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -149,9 +151,39 @@
     }
   }
 
+  /**
+   * The program ends: connections that have no flow are ended once what has come on them is read. A
+   * line that comes now is answered like any other; one that comes later is never sent on.
+   */
+  public void dismiss() {
+    List<Session> resting = new ArrayList<>(silent);
+    resting.addAll(greeted);
+    for (Session session : resting) {
+      session.link.receive();
+      if (session.rests()) {
+        session.end();
+      }
+    }
+  }
+
+  /** Where a client's connection is on its way; it goes back from GREETED to ASKED at most. */
+  private enum Phase {
+    /** It has sent no whole line. */
+    SILENT,
+    /** It has sent PING, and is owed PONG. */
+    ASKED,
+    /** It was told, and may send its first line. */
+    GREETED,
+    /** Its flow waits for an answer. */
+    WAITING,
+    /** It has its final answer, stands, or is gone. */
+    OVER
+  }
+
   /** One client's connection, until it stands or is answered. */
   private final class Session implements Link.Owner, Client {
     private final Link link;
+    private Phase phase = Phase.SILENT;
 
     /** How long it may have waited before it was accepted, in microseconds. */
     private final long queued;
@@ -164,7 +196,6 @@
 
     private String id;
     private long flow;
-    private boolean answered;
 
     Session(Link link) {
       this.link = link;
@@ -177,6 +208,17 @@
       firstLine = net.loop().after(FIRST_LINE_MICROS, () -> reject("no first line"));
     }
 
+    private boolean rests() {
+      return phase == Phase.SILENT || phase == Phase.ASKED || phase == Phase.GREETED;
+    }
+
+    /** Ends a connection that has no flow, or none any longer. */
+    private void end() {
+      spoke();
+      phase = Phase.OVER;
+      link.close();
+    }
+
     /** The clock of a connection that says nothing ends, whichever it was. */
     private void spoke() {
       silent.remove(this);
@@ -188,7 +230,7 @@
 
     @Override
     public void received(Link from) {
-      if (open != null) {
+      if (phase == Phase.WAITING || phase == Phase.ASKED) {
         reject("more than one line before the answer");
         return;
       }
@@ -222,21 +264,26 @@
       }
       greeted.add(this);
       firstLine = net.loop().after(GREETED_MICROS, () -> reject("no line after PING"));
+      phase = Phase.ASKED;
       admit();
     }
 
     /** PONG brings clients: it waits until they can be served, and is none while they leave. */
     private void admit() {
+      if (phase != Phase.ASKED) {
+        return;
+      }
       if (dispatcher.admits()) {
+        phase = Phase.GREETED;
         link.send("PONG");
         if (!net.isOpen() && dispatcher.leaving()) {
           // It asks again over a new connection, which another process takes: this one will end.
-          spoke();
-          link.close();
+          end();
         }
       } else if (dispatcher.leaving()) {
+        phase = Phase.GREETED;
         link.send("BUSY");
-      } else if (link.isOpen()) {
+      } else {
         net.loop().after(READY_MICROS, this::admit);
       }
     }
@@ -247,6 +294,7 @@
           || !ids.add(line.id())) {
         throw new IllegalArgumentException("the id is another open flow's");
       }
+      phase = Phase.WAITING;
       open = line;
       id = line.id();
       flow = ++flows;
@@ -271,8 +319,9 @@
 
     /** Takes back a flow that has no answer yet. */
     private void leave() {
-      if (id != null && !answered) {
-        answered = true;
+      boolean waited = phase == Phase.WAITING;
+      phase = Phase.OVER;
+      if (waited) {
         over();
         dispatcher.clientLeft(flow);
       }
@@ -292,7 +341,7 @@
 
     @Override
     public Link up(String line) {
-      answered = true;
+      phase = Phase.OVER;
       open = null;
       firstLine = null;
       link.send(line);
@@ -310,7 +359,7 @@
     }
 
     private void answer(String line) {
-      answered = true;
+      phase = Phase.OVER;
       over();
       link.turnAway(line);
     }
--- a/src/main/java/brassbank/proxy/Proxy.java
+++ b/src/main/java/brassbank/proxy/Proxy.java
@@ -333,9 +333,17 @@
     return fleet;
   }
 
+  private boolean idle(long start) {
+    return decider.open() == 0 && !relay.owes() && clock.now() - start >= STILL_COMING;
+  }
+
   /** Empty is a proxy with no flow left, whose clients have seen the end or had time to. */
   private void awaitEmpty(long start, long emptyFor, Runnable empty) {
-    boolean over = decider.open() == 0 && !relay.owes() && clock.now() - start >= STILL_COMING;
+    if (idle(start)) {
+      // What has come on a resting connection meanwhile may be one more flow.
+      front.dismiss();
+    }
+    boolean over = idle(start);
     if (over && (!net.closing() || emptyFor >= LAST_WORDS)) {
       empty.run();
     } else {
