Probes: an idle connection that its target just closes is no failure of the target

Seen: a kept connection that the target ends as the question goes out counted as a failing target, which then got no flows for 1 s and no probe for 5 s. It is asked again, once, on a new connection. An answer with more behind it left that for the next question, and each answer from then on was the one before's: such a connection is not kept, nor any while descriptors run short.

--- a/src/main/java/brassbank/forward/Prober.java
+++ b/src/main/java/brassbank/forward/Prober.java
@@ -69,6 +69,9 @@
     private boolean sent;
     private boolean over;
 
+    /** The connection has carried a probe before: its target may have ended it meanwhile. */
+    private boolean used;
+
     Probe(Target target) {
       this.target = target;
     }
@@ -77,12 +80,17 @@
       limit = net.loop().after(LIMIT_MICROS, this::overdue);
       Deque<Kept> idle = kept.get(target.address());
       if (idle != null) {
+        used = true;
         up(idle.peek().take());
       } else {
-        connecting = net.connect(target.address(), connectMicros, this, this);
+        connect();
       }
     }
 
+    private void connect() {
+      connecting = net.connect(target.address(), connectMicros, this, this);
+    }
+
     private void overdue() {
       end(link == null ? Ending.CONNECT_FAILED : Ending.TIMED_OUT, List.of());
     }
@@ -131,6 +139,16 @@
 
     @Override
     public void ended(Link from, boolean reset) {
+      if (used && !over) {
+        // An idle connection that its target ends as the question goes out tells nothing of the
+        // target: taken for a failure, it kept a sound one without new flows and probes.
+        used = false;
+        sent = false;
+        link.close();
+        link = null;
+        connect();
+        return;
+      }
       end(sent ? Ending.RESET : Ending.CONNECT_FAILED, List.of());
     }
 
@@ -147,7 +165,9 @@
       limit.cancel();
       if (link == null) {
         connecting.cancel();
-      } else if (usable) {
+      } else if (usable && link.buffer().held() == 0 && link.isOpen() && !net.full()) {
+        // What came behind the answer would be taken for the next one's, and that for the one
+        // after.
         new Kept(target.address(), link).keep();
       } else {
         link.close();
