Program: SIGTERM is heard before the first client can come; no file ends it

Read: the hook for SIGTERM was set after the listener had opened, and a failure that reading a file on SIGHUP did not foresee would have ended the program. Both are closed; no test forces a signal between two statements.

--- a/src/main/java/brassbank/Hangup.java
+++ b/src/main/java/brassbank/Hangup.java
@@ -9,6 +9,7 @@
  */
 final class Hangup {
   private final Semaphore signals = new Semaphore(0);
+  private boolean ignored;
 
   /** Takes the signal from here on; one that comes before {@link #await} is kept for it. */
   static Hangup taken() {
@@ -25,13 +26,22 @@
                 return null;
               });
       Object hup = signal.getConstructor(String.class).newInstance("HUP");
-      signal.getMethod("handle", signal, handler).invoke(null, hup, taker);
+      Object before = signal.getMethod("handle", signal, handler).invoke(null, hup, taker);
+      hangup.ignored = before == handler.getField("SIG_IGN").get(null);
     } catch (ReflectiveOperationException e) {
       throw new IllegalStateException("this runtime lets no program take SIGHUP", e);
     }
     return hangup;
   }
 
+  /**
+   * Whether whoever started the program had the signal ignored, as {@code nohup} does: the runtime
+   * then leaves it so, and no signal will ever come.
+   */
+  boolean ignored() {
+    return ignored;
+  }
+
   /** Waits for the signal; several that have come meanwhile count as one. */
   void await() throws InterruptedException {
     signals.acquire();
--- a/src/main/java/brassbank/ServeCommand.java
+++ b/src/main/java/brassbank/ServeCommand.java
@@ -90,14 +90,21 @@
     if (!System.getProperty("java.vm.info", "").contains("sharing")) {
       LOG.warn("archive-unused");
     }
-    Proxy proxy;
+    if (hangup.ignored()) {
+      LOG.warn("hangup-ignored");
+    }
+    Proxy proxy = new Proxy(config, said.relay(), said.joining(), new GrizzlyNetwork(clock));
+    // Before the first client can come: a signal between the two would end the program at once.
+    Thread stop = new Thread(() -> stop(proxy), "stop");
+    Runtime.getRuntime().addShutdownHook(stop);
     try {
-      proxy = new Proxy(config, said.relay(), said.joining(), new GrizzlyNetwork(clock));
       proxy.start();
     } catch (InheritanceException e) {
+      withdraw(stop);
       System.err.println("brassbank: LB_LISTEN_FD: " + e.getMessage());
       return Exit.USAGE;
     } catch (IOException | RuntimeException e) {
+      withdraw(stop);
       System.err.println("brassbank: cannot serve on " + config.listen() + ": " + e.getMessage());
       return Exit.FAILED;
     }
@@ -105,7 +112,6 @@
     if (config.handover() != null) {
       succeed(proxy, config, clock);
     }
-    Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(proxy), "stop"));
     try {
       while (true) {
         hangup.await();
@@ -117,6 +123,16 @@
     return Exit.OK;
   }
 
+  /** A program that could not start has nobody to send away. */
+  private static void withdraw(Thread stop) {
+    try {
+      Runtime.getRuntime().removeShutdownHook(stop);
+    } catch (IllegalStateException e) {
+      // The signal has come meanwhile: the end is under way.
+      LOG.info("stopping-unstarted");
+    }
+  }
+
   /** Without the file of locks the proxy serves all the same, and no upgrade is seen. */
   private static void succeed(Proxy proxy, Config config, Clock clock) {
     try {
@@ -171,6 +187,9 @@
       LOG.warn("reload-refused", value("reason", e.getMessage()));
     } catch (OwnOptions.UnusableException e) {
       e.problems().forEach(problem -> LOG.warn("reload-refused", value("reason", problem)));
+    } catch (RuntimeException e) {
+      // Whatever a file holds, it must not end a program that serves.
+      LOG.warn("reload-refused", value("reason", e));
     }
     return inForce;
   }
