A connect that outlasts a drain's begin sends nothing; a stop goes by the last reload

Read: a forward's line went out whenever its connect came up. Dispatcher asks the facade now whether the target still serves; connections that were open before the proxy go back to theirs as before. And Proxy.drain went by the deadlines that the program was started with: the platform kills by those in force. Ruled out: a late connect to a host that is listed anew under its name, which is the same target.

--- a/src/main/java/brassbank/decide/Decider.java
+++ b/src/main/java/brassbank/decide/Decider.java
@@ -474,6 +474,14 @@
         : 0;
   }
 
+  /**
+   * Whether a forward that was decided earlier may still be sent to its target: one that has begun
+   * to leave while its connect was under way takes nothing new.
+   */
+  public boolean serves(String target) {
+    return group.serves(target);
+  }
+
   /** The target group as discovery told it. */
   public List<TargetList.Entry> targets() {
     return group.told();
--- a/src/main/java/brassbank/decide/TargetGroup.java
+++ b/src/main/java/brassbank/decide/TargetGroup.java
@@ -30,6 +30,12 @@
     return group.get(name);
   }
 
+  /** Whether the target takes new flows, as far as is known. */
+  boolean serves(String name) {
+    TargetList.Entry entry = told.get(name);
+    return entry != null && entry.status() == TargetList.Status.SERVING;
+  }
+
   boolean isEmpty() {
     return group.isEmpty();
   }
--- a/src/main/java/brassbank/forward/Dispatcher.java
+++ b/src/main/java/brassbank/forward/Dispatcher.java
@@ -244,6 +244,9 @@
     private final String practice;
     private final Client client;
 
+    /** It was open before this proxy: it goes back to its own target, even while that leaves. */
+    private final boolean resumed;
+
     /** The attempt that is out, or was last; gone once the connection stands. */
     private Forward forward;
 
@@ -263,6 +266,7 @@
       this.flow = opened.id();
       this.practice = opened.tenant();
       this.client = client;
+      this.resumed = opened.at() != null;
     }
 
     /** Whether it waits for a target, so that its second descriptor is still to come. */
@@ -285,9 +289,8 @@
     /** The first line, or null where it must not be sent any longer. */
     private String opening(Decision.Forward decided) {
       long now = clock.now();
-      return now > decided.sendBy()
-          ? null
-          : client.opening(Math.max(0, (decided.until() - now) / MILLI));
+      boolean late = now > decided.sendBy() || !(resumed || decider.serves(target));
+      return late ? null : client.opening(Math.max(0, (decided.until() - now) / MILLI));
     }
 
     @Override
--- a/src/main/java/brassbank/proxy/Proxy.java
+++ b/src/main/java/brassbank/proxy/Proxy.java
@@ -58,6 +58,10 @@
   private static final long LIST_PATIENCE = 2_500 * MILLI;
 
   private final Config config;
+
+  /** Those in force: the platform's times follow from them. */
+  private volatile Balancer.Settings settings;
+
   private final FlowClock clock;
   private final long made;
   private volatile boolean able;
@@ -93,6 +97,7 @@
    */
   public Proxy(Config config, RelayLimits limits, Joining joining, Network network) {
     this.config = config;
+    settings = config.settings();
     clock = new FlowClock(network.clock());
     made = clock.now();
     share = new DescriptorShare(config.sockets(), config.handover() != null);
@@ -268,6 +273,7 @@
           share.sockets(next.sockets());
           net.limit(share.limit());
           relay.configure(limits);
+          settings = next.settings();
           dispatcher.settings(
               next.settings(),
               next.connectTimeoutMicros(),
@@ -296,7 +302,7 @@
   public long drain(Runnable empty) {
     long longest = LONGEST_DEADLINE;
     long deadline =
-        config.settings().classes().stream()
+        settings.classes().stream()
             .mapToLong(Balancer.RequestClass::deadline)
             .max()
             .orElse(longest);
--- a/src/test/java/brassbank/ClientGoesTest.java
+++ b/src/test/java/brassbank/ClientGoesTest.java
@@ -62,7 +62,7 @@
         assertThat(client.line()).isNull();
       }
       site.heardAll();
-      deaf.setSoTimeout(3_000);
+      deaf.setSoTimeout(Peer.LIMIT_MILLIS);
       List<Socket> taken = new ArrayList<>(List.of(deaf.accept(), deaf.accept()));
       try (Peer again = site.client("a1", "d=4800");
           Socket next = deaf.accept()) {
--- a/src/test/java/brassbank/PlannedStopTest.java
+++ b/src/test/java/brassbank/PlannedStopTest.java
@@ -57,6 +57,19 @@
     assertThat(site.process.waitFor()).isZero();
   }
 
+  /** The platform kills by the settings in force, which a reload may have shortened. */
+  @Test
+  void aStopGoesByTheDeadlinesOfTheLastReload() throws Exception {
+    Site.Target target = site.target("s-1");
+    site.start(target);
+    shortDeadlines();
+    site.reload(site.config.toString());
+    assertThat(site.logged("reloaded")).isNotNull();
+    site.process.destroy();
+    assertThat(site.logged("departure-planned")).containsPattern("to_ms=1[01]\\d\\d$");
+    assertThat(site.process.waitFor()).isZero();
+  }
+
   /** One that waits and was never sent may be told to try again, whatever its class. */
   @Test
   void aStopRefusesAFlowThatWasNeverSent() throws Exception {
--- a/src/test/java/brassbank/RepeatWindowTest.java
+++ b/src/test/java/brassbank/RepeatWindowTest.java
@@ -56,7 +56,7 @@
       Site.tell(watch, Site.list(2, false, "SERVING", late));
       assertThat(site.logged("target-changed target=s-2")).isNotNull();
       listed.countDown();
-      deaf.setSoTimeout(3_000);
+      deaf.setSoTimeout(Peer.LIMIT_MILLIS);
       if (guarded) {
         assertThat(client.line()).as("answered once its window is over").startsWith("BUSY");
         assertThat(Site.millisSince(sent)).isLessThan(3_000);
