--- a/review/rig/Rig.java
+++ b/review/rig/Rig.java
@@ -127,10 +127,12 @@
     }
 
     void write(String text) throws IOException {
-      synchronized (this) {
-        out.write(bytes(text));
-        out.flush();
-      }
+      write(bytes(text));
+    }
+
+    synchronized void write(byte[] bytes) throws IOException {
+      out.write(bytes);
+      out.flush();
     }
   }
 
@@ -164,6 +166,9 @@
     volatile String status = "SERVING";
     volatile long sinceMillis;
 
+    /** The registered size. */
+    volatile double weight = 1;
+
     Host(String name, String zone, Record record, Behaviour behaviour) throws IOException {
       this.name = name;
       this.zone = zone;
@@ -237,11 +242,12 @@
       return String.format(
           Locale.ROOT,
           "{\"name\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"type\":\"fast-box\",\"group\":0,"
-              + "\"status\":\"%s\",\"weight\":1.0,\"since_ms\":%d}",
+              + "\"status\":\"%s\",\"weight\":%.1f,\"since_ms\":%d}",
           name,
           address(),
           zone,
           status,
+          weight,
           sinceMillis);
     }
   }
@@ -450,6 +456,16 @@
       return "127.0.0.1:" + port;
     }
 
+    /** Sets the limits in the configuration; 192 MB and 1,024 sockets otherwise. */
+    void limits(int memoryMegabytes, int sockets) throws IOException {
+      Path file = folder.resolve("config.json");
+      Files.writeString(
+          file,
+          Files.readString(file)
+              .replace("\"memory_mb\":192", "\"memory_mb\":" + memoryMegabytes)
+              .replace("\"sockets\":1024", "\"sockets\":" + sockets));
+    }
+
     private static String runCommand(Path root) throws IOException {
       for (String line : Files.readAllLines(root.resolve("deploy/balancer.toml"))) {
         if (line.startsWith("run = \"")) {
@@ -469,7 +485,10 @@
       builder.redirectErrorStream(true);
       builder.redirectOutput(
           ProcessBuilder.Redirect.appendTo(folder.resolve("log.txt").toFile()));
-      process = builder.start();
+      Process started = builder.start();
+      process = started;
+      // Also when this driver is itself ended.
+      Runtime.getRuntime().addShutdownHook(new Thread(started::destroyForcibly));
       record.add("proxy %s is started", name);
     }
 
