--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,4 @@
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 root=$(cd "$here/../.." && pwd) || exit 2
 [ -d "$here/../classes" ] || { echo "run review/build.sh first" >&2; exit 2; }
-exec java -XX:+UseSerialGC -Xss256k -Xmx1g -cp "$here/../classes" QuietClients "$root" "$here"
+exec java -XX:+UseSerialGC -Xss256k -Xmx512m -cp "$here/../classes" MoveInMidLine "$root" "$here"
