--- a/review/rig/Rig.java
+++ b/review/rig/Rig.java
@@ -565,7 +565,7 @@
   static void main(String[] arguments, Case run) throws IOException {
     Path root = Path.of(arguments[0]);
     int verdict = 2;
-    try (Record record = new Record(Path.of(arguments[1]).resolve("record.txt"))) {
+    try (Record record = new Record(Path.of(arguments[1]))) {
       record.add("the disruption is %s", TROUBLE ? "on" : "off (TROUBLE=0)");
       try {
         verdict = run.run(root, record);
