--- a/src/main/java/brassbank/relay/RelayedSession.java
+++ b/src/main/java/brassbank/relay/RelayedSession.java
@@ -36,6 +36,12 @@
   /** The target has not answered the client's last line yet. */
   private boolean requestPending;
 
+  /**
+   * A read of the target is being parsed, so that the parser does not know yet whether the bytes
+   * that were sent to the client end within a line.
+   */
+  private boolean parsingHostLines;
+
   /** The line to send to the client before closing; null until the session is to be closed. */
   private String finalLine;
 
@@ -143,21 +149,37 @@
       wasInLine = clientLines.inLine();
       lineEnded = clientLines.follow(bytes, start, end);
       inLine = clientLines.inLine();
-      if (lineEnded && !requestPending && !ending) {
-        requestPending = true;
-        observer.requestRelayed();
-      }
     } else {
       wasInLine = hostLines.inLine();
-      lineEnded = hostLines.follow(bytes, start, end);
+      lineEnded = parseHostLines(bytes, start, end);
       inLine = hostLines.inLine();
     }
+    if (closed) {
+      return;
+    }
     if (inLine && (lineEnded || !wasInLine)) {
       limits.lineStarted(peers, side(from), relay.nowMicros());
       relay.scheduleEvaluation();
     } else if (wasInLine && !inLine) {
       limits.lineEnded(peers, side(from));
     }
+    if (from == client && lineEnded && !requestPending && !ending) {
+      requestPending = true;
+      observer.requestRelayed();
+    }
+  }
+
+  /**
+   * Parses the lines and reports them. A report may have this session closed: a final line then
+   * waits until the whole read is parsed.
+   */
+  private boolean parseHostLines(ByteBuffer bytes, int start, int end) {
+    parsingHostLines = true;
+    try {
+      return hostLines.follow(bytes, start, end);
+    } finally {
+      parsingHostLines = false;
+    }
   }
 
   @Override
@@ -269,7 +291,7 @@
       return;
     }
     finalLine = line;
-    if (!hostLines.inLine()) {
+    if (!parsingHostLines && !hostLines.inLine()) {
       finish();
     } else {
       // Reads the target even if the client's queue is full: the current line has to end.
