--- a/src/main/java/brassbank/net/BufferPool.java
+++ b/src/main/java/brassbank/net/BufferPool.java
@@ -26,6 +26,12 @@
    */
   private static final int MIN_RETAINED_BYTES = 256 * 1024;
 
+  /**
+   * Free space before the bytes that are read into the shared buffer: a handler that has held back
+   * the beginning of a line puts it there, so that the whole line is written in one call.
+   */
+  static final int INPUT_HEADROOM_BYTES = Link.MAX_LINE_BYTES;
+
   private static final int DISCARD_BUFFER_BYTES = 64 * 1024;
 
   private final List<Deque<byte[]>> free = new ArrayList<>();
@@ -49,14 +55,18 @@
    * processing bytes of the shared buffer.
    */
   public void readQuota(int bytes) {
-    if (input == null || input.capacity() != bytes) {
-      input = ByteBuffer.allocateDirect(bytes).order(ByteOrder.LITTLE_ENDIAN);
+    int capacity = INPUT_HEADROOM_BYTES + bytes;
+    if (input == null || input.capacity() != capacity) {
+      input = ByteBuffer.allocateDirect(capacity).order(ByteOrder.LITTLE_ENDIAN);
     }
   }
 
-  /** Returns the shared read buffer, cleared. Its content is valid until the next link reads. */
+  /**
+   * Returns the shared read buffer, positioned behind its headroom. Its content is valid until the
+   * next link reads.
+   */
   ByteBuffer input() {
-    return input.clear();
+    return input.clear().position(INPUT_HEADROOM_BYTES);
   }
 
   /** Returns the buffer, cleared, into which all links read the bytes that they discard. */
@@ -68,7 +78,7 @@
   }
 
   /** Leases a block of at least this length; the caller returns it by {@link #release}. */
-  byte[] lease(int bytes) {
+  public byte[] lease(int bytes) {
     int size = sizeClass(bytes);
     byte[] block = free.get(size).poll();
     if (block == null) {
@@ -81,7 +91,7 @@
   }
 
   /** Returns a leased block, and frees retained blocks beyond the limit. */
-  void release(byte[] block) {
+  public void release(byte[] block) {
     leasedBytes -= block.length;
     retainedBytes += block.length;
     free.get(sizeClass(block.length)).push(block);
--- a/src/main/java/brassbank/net/Link.java
+++ b/src/main/java/brassbank/net/Link.java
@@ -54,7 +54,8 @@
 
     /**
      * Reports received bytes. The buffer is shared by all links: its content is valid during the
-     * call only.
+     * call only. The {@link Link#MAX_LINE_BYTES} bytes before its position are free for the handler
+     * to write to.
      */
     void received(Link link, ByteBuffer bytes);
 
@@ -407,7 +408,8 @@
       into = net.buffers().discardBuffer();
     } else if (streamHandler != null) {
       into = net.buffers().input();
-      into.limit(Math.min(into.capacity(), streamHandler.readQuota(this)));
+      int quota = streamHandler.readQuota(this);
+      into.limit(Math.min(into.capacity(), into.position() + quota));
     } else {
       into = buffer.space();
     }
@@ -432,7 +434,8 @@
         release();
       }
     } else if (streamHandler != null) {
-      streamHandler.received(this, bytes.flip());
+      int end = bytes.position();
+      streamHandler.received(this, bytes.limit(end).position(end - count));
     } else {
       buffer.advance(count);
       handler.received(this);
--- a/src/main/java/brassbank/proxy/Proxy.java
+++ b/src/main/java/brassbank/proxy/Proxy.java
@@ -66,6 +66,12 @@
    */
   private static final long RESET_LEAD_MICROS = 50 * MICROS_PER_MILLI;
 
+  /**
+   * How long before the end of the program the last clients get their final line, also those whose
+   * host has begun a line and does not end it: the final line needs time to arrive.
+   */
+  private static final long FINAL_LINE_LEAD_MICROS = 150 * MICROS_PER_MILLI;
+
   /** The interval at which a draining proxy checks whether it is idle. */
   private static final long IDLE_CHECK_INTERVAL_MICROS = 20 * MICROS_PER_MILLI;
 
@@ -361,6 +367,7 @@
     long start = clock.now();
     net.execute(
         () -> {
+          relay.limitLineEndWaits(untilKill - KILL_MARGIN_MICROS - FINAL_LINE_LEAD_MICROS);
           dispatcher.report(new NetworkEvent.StopRequested(start + untilKill));
           net.loop()
               .schedule(
--- a/src/main/java/brassbank/relay/ClientLineTracker.java
+++ b/src/main/java/brassbank/relay/ClientLineTracker.java
@@ -11,7 +11,7 @@
     if (from == to) {
       return false;
     }
-    int feed = lastFeed(bytes, from, to);
+    int feed = LineFeedScanner.last(bytes, from, to);
     inLine = feed != to - 1;
     return feed >= 0;
   }
@@ -20,16 +20,4 @@
   boolean inLine() {
     return inLine;
   }
-
-  /**
-   * Returns the index of the last line feed before {@code to}, or -1. Searches backwards, since it
-   * is usually among the last bytes.
-   */
-  private static int lastFeed(ByteBuffer bytes, int from, int to) {
-    int at = to - 1;
-    while (at >= from && bytes.get(at) != '\n') {
-      at--;
-    }
-    return at < from ? -1 : at;
-  }
 }
--- a/src/main/java/brassbank/relay/HostLineParser.java
+++ b/src/main/java/brassbank/relay/HostLineParser.java
@@ -67,6 +67,11 @@
     return length > 0;
   }
 
+  /** Returns how many bytes of an unfinished line there are so far; 0 between two lines. */
+  int unfinishedBytes() {
+    return length;
+  }
+
   /** Returns whether the unfinished line is already longer than the protocol allows. */
   boolean isOverlong() {
     return length > Link.MAX_LINE_BYTES;
--- a/src/main/java/brassbank/relay/LineFeedScanner.java
+++ b/src/main/java/brassbank/relay/LineFeedScanner.java
@@ -48,12 +48,12 @@
     if (words.length < count) {
       words = new long[count];
     }
-    if (bytes.isDirect() && start == 0 && bytes.capacity() % Long.BYTES == 0) {
+    if (bytes.isDirect() && start % Long.BYTES == 0 && bytes.capacity() % Long.BYTES == 0) {
       if (bytes != lastBuffer) {
         lastBuffer = bytes;
         lastBufferWords = bytes.duplicate().clear().order(ByteOrder.LITTLE_ENDIAN).asLongBuffer();
       }
-      lastBufferWords.get(0, words, 0, count);
+      lastBufferWords.get(start / Long.BYTES, words, 0, count);
       return;
     }
     for (int i = 0; i < count; i++) {
@@ -89,6 +89,18 @@
     return found < to ? found : -1;
   }
 
+  /**
+   * Returns the index of the last line feed before {@code end}, or -1. Searches backwards byte by
+   * byte, since it is usually among the last bytes.
+   */
+  static int last(ByteBuffer bytes, int start, int end) {
+    int at = end - 1;
+    while (at >= start && bytes.get(at) != '\n') {
+      at--;
+    }
+    return at < start ? -1 : at;
+  }
+
   /** Returns a word in which the highest bit of each byte that is a line feed is set, no others. */
   private static long lineFeedBits(long word) {
     long zeros = word ^ FEED_PATTERN;
--- a/src/main/java/brassbank/relay/Relay.java
+++ b/src/main/java/brassbank/relay/Relay.java
@@ -20,6 +20,9 @@
 public final class Relay {
   private static final Log LOG = Log.of("relay");
 
+  /** How long a final line waits for the end of a line that the host has begun. */
+  private static final long LINE_END_TIMEOUT_MICROS = 500_000;
+
   private final Net net;
   private final PeerLimits limits;
   private final LineFeedScanner lineFeeds = new LineFeedScanner();
@@ -29,6 +32,9 @@
 
   private EventLoop.Timer evaluationTimer;
 
+  /** When the last wait for the end of a line ends, in {@link #nowMicros}. */
+  private long lineEndDeadlineMicros = Long.MAX_VALUE;
+
   public Relay(Net net, RelayLimits limits) {
     this.net = net;
     this.limits = new PeerLimits(limits);
@@ -62,6 +68,19 @@
     return sessions.values().stream().anyMatch(RelayedSession::hasPendingClientData);
   }
 
+  /**
+   * Has all final lines sent within this time, in microseconds from now, whether or not the hosts
+   * end the lines that they have begun; called when the process is about to end.
+   */
+  public void limitLineEndWaits(long micros) {
+    lineEndDeadlineMicros = nowMicros() + micros;
+  }
+
+  /** Returns how long a final line decided now waits for the end of the host's line. */
+  long lineEndTimeoutMicros() {
+    return Math.max(0, Math.min(LINE_END_TIMEOUT_MICROS, lineEndDeadlineMicros - nowMicros()));
+  }
+
   /**
    * Resets the sessions that still have data to send to their client; called when the process ends.
    * A reset keeps those clients from taking the close for a regular end of the session.
--- a/src/main/java/brassbank/relay/RelayedSession.java
+++ b/src/main/java/brassbank/relay/RelayedSession.java
@@ -1,5 +1,9 @@
 package brassbank.relay;
 
+import static brassbank.log.Field.flow;
+import static brassbank.log.Field.value;
+
+import brassbank.log.Log;
 import brassbank.net.Link;
 import brassbank.relay.limits.DisconnectDecision;
 import brassbank.relay.limits.PeerLimits;
@@ -15,10 +19,12 @@
  * is queued, and while too much is queued for one side, the other side is not read. When one side
  * ends, the other is ended in the same way: a reset resets both links; after an end of stream the
  * last lines of the other side are still relayed while the links linger.
+ *
+ * <p>The client receives whole lines of its host: an unfinished line is held back until it ends,
+ * unless it is longer than the protocol allows. So the final line can always follow a whole line.
  */
 public final class RelayedSession implements Link.StreamHandler, HostLineParser.Listener {
-  /** How long the final line waits for the end of a line that has been relayed in part. */
-  private static final long LINE_END_TIMEOUT_MICROS = 500_000;
+  private static final Log LOG = Log.of("relay");
 
   /** Time limit for the final line to be written, unless the session ends for a slow peer. */
   private static final long LINGER_MICROS = 1_000_000;
@@ -31,14 +37,15 @@
   private final SessionObserver observer;
   private final ClientLineTracker clientLines = new ClientLineTracker();
   private final HostLineParser hostLines;
+  private final UnfinishedLine unfinishedLine;
   private int released;
 
   /** The target has not answered the client's last line yet. */
   private boolean requestPending;
 
   /**
-   * A read of the target is being parsed, so that the parser does not know yet whether the bytes
-   * that were sent to the client end within a line.
+   * A read of the target is being parsed, so that the parser does not know yet whether its bytes
+   * end within a line.
    */
   private boolean parsingHostLines;
 
@@ -62,6 +69,7 @@
     this.relay = relay;
     this.limits = relay.limits();
     this.hostLines = new HostLineParser(relay.lineFeeds(), this);
+    this.unfinishedLine = new UnfinishedLine(relay.net().buffers());
     this.peers = peers;
     this.client = client;
     this.target = target;
@@ -113,59 +121,93 @@
     if (closed || !bytes.hasRemaining()) {
       return;
     }
+    if (from == client) {
+      receivedFromClient(bytes);
+    } else {
+      receivedFromTarget(bytes);
+    }
+  }
+
+  private void receivedFromClient(ByteBuffer bytes) {
     int start = bytes.position();
     int end = bytes.limit();
-    boolean toClient = from == target;
-    if (toClient && finalLine != null) {
-      // The final line follows the end of the current line; the bytes behind that are dropped.
-      relay.lineFeeds().reset(bytes, start, end);
-      int feed = relay.lineFeeds().next(start);
-      end = feed < 0 ? end : feed + 1;
-      bytes.limit(end);
-    }
-    Link to = other(from);
-    to.send(bytes);
+    target.send(bytes);
     if (closed) {
       return;
     }
-    if (limits.isFull(peers, side(to)) && !(toClient && finalLine != null)) {
-      from.pause();
+    if (limits.isFull(peers, Side.TARGET)) {
+      client.pause();
     }
-    trackLines(from, bytes, start, end);
-    if (!closed
-        && toClient
-        && finalLine != null
-        && (!hostLines.inLine() || hostLines.isOverlong())) {
-      finish();
+    boolean wasInLine = clientLines.inLine();
+    boolean lineEnded = clientLines.follow(bytes, start, end);
+    updateLineLimit(Side.CLIENT, wasInLine, lineEnded, clientLines.inLine());
+    if (lineEnded && !requestPending && !ending) {
+      requestPending = true;
+      observer.requestRelayed();
     }
   }
 
-  /** Finds the lines in bytes that have been sent already, so that this delays no peer. */
-  private void trackLines(Link from, ByteBuffer bytes, int start, int end) {
-    boolean wasInLine;
-    boolean lineEnded;
-    boolean inLine;
-    if (from == client) {
-      wasInLine = clientLines.inLine();
-      lineEnded = clientLines.follow(bytes, start, end);
-      inLine = clientLines.inLine();
-    } else {
-      wasInLine = hostLines.inLine();
-      lineEnded = parseHostLines(bytes, start, end);
-      inLine = hostLines.inLine();
+  private void receivedFromTarget(ByteBuffer bytes) {
+    int start = bytes.position();
+    if (finalLine != null) {
+      limitToCurrentLine(bytes);
     }
+    int end = bytes.limit();
+    relayWholeLines(bytes);
     if (closed) {
       return;
     }
+    if (limits.isFull(peers, Side.CLIENT) && finalLine == null) {
+      target.pause();
+    }
+    boolean wasInLine = hostLines.inLine();
+    boolean lineEnded = parseHostLines(bytes, start, end);
+    if (closed) {
+      return;
+    }
+    updateLineLimit(Side.TARGET, wasInLine, lineEnded, hostLines.inLine());
+    if (finalLine != null && (!hostLines.inLine() || hostLines.isOverlong())) {
+      finish();
+    }
+  }
+
+  /** Drops the bytes behind the end of the current line, which the final line follows. */
+  private void limitToCurrentLine(ByteBuffer bytes) {
+    LineFeedScanner lineFeeds = relay.lineFeeds();
+    lineFeeds.reset(bytes, bytes.position(), bytes.limit());
+    int feed = lineFeeds.next(bytes.position());
+    if (feed >= 0) {
+      bytes.limit(feed + 1);
+    }
+  }
+
+  /** Sends the whole lines to the client and holds back the line that has only begun. */
+  private void relayWholeLines(ByteBuffer bytes) {
+    int start = bytes.position();
+    int end = bytes.limit();
+    int feed = LineFeedScanner.last(bytes, start, end);
+    long unfinishedBytes =
+        feed < 0 ? (long) hostLines.unfinishedBytes() + end - start : end - feed - 1;
+    int heldStart = feed < 0 ? start : feed + 1;
+    if (unfinishedBytes > Link.MAX_LINE_BYTES) {
+      // The line breaks the protocol. Its length is not bounded, so that it is not held back.
+      heldStart = end;
+    }
+    if (heldStart > start) {
+      unfinishedLine.prependTo(bytes);
+      client.send(bytes.limit(heldStart));
+    }
+    if (!closed) {
+      unfinishedLine.append(bytes.limit(end).position(heldStart));
+    }
+  }
+
+  private void updateLineLimit(Side side, boolean wasInLine, boolean lineEnded, boolean inLine) {
     if (inLine && (lineEnded || !wasInLine)) {
-      limits.lineStarted(peers, side(from), relay.nowMicros());
+      limits.lineStarted(peers, side, relay.nowMicros());
       relay.scheduleEvaluation();
     } else if (wasInLine && !inLine) {
-      limits.lineEnded(peers, side(from));
-    }
-    if (from == client && lineEnded && !requestPending && !ending) {
-      requestPending = true;
-      observer.requestRelayed();
+      limits.lineEnded(peers, side);
     }
   }
 
@@ -235,6 +277,7 @@
   @Override
   public void released(Link link) {
     if (++released == 2) {
+      unfinishedLine.clear();
       relay.closed(this);
     }
   }
@@ -244,6 +287,17 @@
     if (closed) {
       return;
     }
+    if (from == target && !reset) {
+      if (finalLine != null) {
+        // The line that the final line waits for does not end any more.
+        finish();
+        return;
+      }
+      client.send(unfinishedLine.take());
+      if (closed) {
+        return;
+      }
+    }
     closed = reset || ending || relay.net().isAtCapacity();
     if (reset) {
       from.reset();
@@ -266,7 +320,8 @@
 
   /**
    * Sends a final line to the client, between two lines of the target, and closes both links. The
-   * session closes at once, or after the end of a line that has been relayed in part.
+   * session closes at once; if the target has begun a line, once that ends, or after a time limit
+   * without it.
    *
    * @param closedCallback runs once the session is closed, by this call or for another reason
    */
@@ -296,7 +351,7 @@
     } else {
       // Reads the target even if the client's queue is full: the current line has to end.
       target.resume();
-      relay.loop().schedule(LINE_END_TIMEOUT_MICROS, this::finish);
+      relay.loop().schedule(relay.lineEndTimeoutMicros(), this::finish);
     }
   }
 
@@ -305,11 +360,12 @@
       return;
     }
     closed = true;
-    if (hostLines.inLine()) {
-      // A reset keeps the client from taking a truncated line for a complete one, or the close for
-      // a regular end of the session.
+    if (hostLines.isOverlong()) {
+      // Part of the line has been relayed. A reset keeps the client from taking it for a complete
+      // one, or the close for a regular end of the session.
       client.reset();
     } else {
+      dropUnfinishedLine();
       client.send(finalLine);
       client.close(finalLineLimitMicros);
     }
@@ -321,6 +377,13 @@
     notifyClosed();
   }
 
+  private void dropUnfinishedLine() {
+    if (unfinishedLine.length() > 0) {
+      LOG.info("line-dropped", flow(peers.id()), value("bytes", unfinishedLine.length()));
+      unfinishedLine.clear();
+    }
+  }
+
   /** Returns whether bytes are queued for the client, or a final line waits for a line's end. */
   boolean hasPendingClientData() {
     return client.queuedBytes() > 0 || (finalLine != null && !closed);
--- a/src/test/java/brassbank/relay/RelayedSessionTest.java
+++ b/src/test/java/brassbank/relay/RelayedSessionTest.java
@@ -50,6 +50,9 @@
     }
   }
 
+  /** A final line waits this long at most for the end of a line. */
+  private static final long LINE_END_TIMEOUT_MILLIS = 500;
+
   private void move() {
     session.sendFinalLine("MOVE", () -> {});
   }
@@ -68,4 +71,74 @@
     host.send("003\r\nr 2\r\n");
     assertThat(client.received()).isEqualTo("r 1\r\nLOAD 17003\r\nMOVE\r\n|END");
   }
+
+  /** Guards against a reset in place of MOVE when a host hangs within a line (review case 3). */
+  @Test
+  void aClientWhoseHostHangsWithinALineIsSentMove() {
+    host.send("r 1\r\nr mess");
+    move();
+    network.advanceMillis(LINE_END_TIMEOUT_MILLIS - 1);
+    assertThat(client.received()).isEqualTo("r 1\r\n");
+    network.advanceMillis(1);
+    assertThat(client.received()).isEqualTo("r 1\r\nMOVE\r\n|END");
+    assertThat(network.net.buffers().leasedBytes()).as("leased buffer bytes").isZero();
+  }
+
+  /** Guards against a reset in place of MOVE in the last moments of a planned stop. */
+  @Test
+  void noFinalLineWaitsForALineBeyondTheLimitOfThePlannedStop() {
+    relay.limitLineEndWaits(200_000);
+    host.send("half");
+    move();
+    network.advanceMillis(200);
+    assertThat(client.received()).isEqualTo("MOVE\r\n|END");
+  }
+
+  /** Guards against a client that holds half a line when its session is moved or ended. */
+  @Test
+  void theClientReceivesWholeLinesWhereverTheHostsBytesAreCut() {
+    String text = "r 1\r\nLOAD 17003\r\n\r\nr " + "x".repeat(4000) + "\r\nr 2\r\n";
+    for (int size : new int[] {1, 2, 3, 5, 7, 16, 1000, 4096}) {
+      int before = client.received().length();
+      for (int at = 0; at < text.length(); at += size) {
+        host.send(text.substring(at, Math.min(text.length(), at + size)));
+        assertThat(client.received()).as("pieces of %d bytes", size).matches("(?s)(.*\n)?");
+      }
+      assertThat(client.received().substring(before)).isEqualTo(text);
+    }
+    assertThat(network.net.buffers().leasedBytes()).as("leased buffer bytes").isZero();
+  }
+
+  /** Guards against memory without a bound for a host that never ends its line. */
+  @Test
+  void aLineLongerThanTheProtocolAllowsIsNotHeldBack() {
+    String half = "x".repeat(3000);
+    host.send("r 1\r\n" + half);
+    assertThat(client.received()).isEqualTo("r 1\r\n");
+    host.send(half);
+    assertThat(client.received()).isEqualTo("r 1\r\n" + half + half);
+    host.send("y\r\nr 2\r\nr");
+    assertThat(client.received()).isEqualTo("r 1\r\n" + half + half + "y\r\nr 2\r\n");
+    host.send(half + half);
+    move();
+    network.advanceMillis(LINE_END_TIMEOUT_MILLIS);
+    assertThat(client.received()).endsWith("|RESET");
+  }
+
+  /** Guards against the loss of a last line without a line end. */
+  @Test
+  void theBytesOfAHostThatEndsWithinALineReachTheClient() {
+    host.send("r 1\r\nBYE");
+    host.finish();
+    assertThat(client.received()).isEqualTo("r 1\r\nBYE|END");
+  }
+
+  /** Guards against half a line before MOVE when the host ends in place of its line. */
+  @Test
+  void aHostThatEndsWithinALineWhileItsClientIsMovedEndsTheWait() {
+    host.send("half");
+    move();
+    host.finish();
+    assertThat(client.received()).isEqualTo("MOVE\r\n|END");
+  }
 }
