A process whose memory is exhausted ends at once, with a log line and status 3

Cause: an OutOfMemoryError is no RuntimeException. It passed Link and EventLoop to the selector thread of the library, which logs "doSelect exception" and goes on with half changed state.

Fix: the runtime is started with ExitOnOutOfMemoryError, and the event loop ends the process for the errors that the class library throws by itself. It works because no code of ours or of the library runs after the error.

--- a/deploy/serve.sh
+++ b/deploy/serve.sh
@@ -30,7 +30,9 @@
   echo "no class-data archive, or a damaged one: the start takes longer (sh deploy/archive.sh)" >&2
   mapped=
 fi
-exec java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:-UsePerfData -Xss256k \
+# A process whose heap is exhausted ends at once with status 3. The runtime writes the reason to
+# standard error, where the log is.
+exec java -XX:+ExitOnOutOfMemoryError -XX:+DisplayVMOutputToStderr -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:-UsePerfData -Xss256k \
   -Xms$((m / 8))m -Xmx$((m / 3))m -XX:MaxDirectMemorySize=$((m / 12))m \
   -XX:MaxMetaspaceSize=$((m / 8 + 12))m -XX:ReservedCodeCacheSize=$((m / 8))m \
   $mapped -jar target/brassbank.jar serve "$@"
--- a/src/main/java/brassbank/grizzly/EventLoopIoStrategy.java
+++ b/src/main/java/brassbank/grizzly/EventLoopIoStrategy.java
@@ -32,7 +32,18 @@
   @SuppressWarnings("rawtypes")
   public boolean executeIoEvent(Connection connection, IOEvent event, boolean enabled)
       throws IOException {
-    selector.beforeEvent();
+    try {
+      selector.beforeEvent();
+      return deliver(connection, event, enabled);
+    } catch (OutOfMemoryError e) {
+      MemoryExhaustion.endProcess(e);
+      throw e;
+    }
+  }
+
+  @SuppressWarnings("rawtypes")
+  private boolean deliver(Connection connection, IOEvent event, boolean enabled)
+      throws IOException {
     GrizzlyChannel channel =
         event == IOEvent.WRITE ? GrizzlyChannel.of((Connection<?>) connection) : null;
     if (channel == null) {
--- a/src/main/java/brassbank/grizzly/EventLoopSelector.java
+++ b/src/main/java/brassbank/grizzly/EventLoopSelector.java
@@ -140,6 +140,15 @@
 
   @Override
   public Set<SelectionKey> select(SelectorRunner runner) throws IOException {
+    try {
+      return selectReadyKeys(runner);
+    } catch (OutOfMemoryError e) {
+      MemoryExhaustion.endProcess(e);
+      throw e;
+    }
+  }
+
+  private Set<SelectionKey> selectReadyKeys(SelectorRunner runner) throws IOException {
     // Set before checking for tasks: a task added after the check then wakes this selector up.
     selector = runner.getSelector();
     long wait = tasks.isEmpty() ? millisToNextTimer() : 0;
@@ -168,7 +177,11 @@
 
   @Override
   public void postSelect(SelectorRunner runner) {
-    runTasksAndTimers();
+    try {
+      runTasksAndTimers();
+    } catch (OutOfMemoryError e) {
+      MemoryExhaustion.endProcess(e);
+    }
   }
 
   private void runTasksAndTimers() {
