--- a/src/jmh/java/brassbank/relay/RelayBenchmark.java
+++ b/src/jmh/java/brassbank/relay/RelayBenchmark.java
@@ -6,6 +6,7 @@
 import brassbank.net.Net;
 import brassbank.net.Network;
 import brassbank.relay.limits.DisconnectDecision;
+import brassbank.relay.limits.QueueMemory;
 import brassbank.relay.limits.RelayLimits;
 import brassbank.relay.limits.Side;
 import brassbank.sources.Clock;
@@ -172,7 +173,7 @@
     }
     TwoChannelNetwork network = new TwoChannelNetwork();
     Net net = new Net(1024, network);
-    Relay relay = new Relay(net, RelayLimits.NONE);
+    Relay relay = new Relay(net, RelayLimits.NONE, QueueMemory.UNLIMITED);
     Link[] links = new Link[2];
     net.listen(new InetSocketAddress(0), link -> links[0] = link);
     network.accepted.accept(client);
--- a/src/main/java/brassbank/ServeCommand.java
+++ b/src/main/java/brassbank/ServeCommand.java
@@ -13,6 +13,7 @@
 import brassbank.log.Log;
 import brassbank.net.InheritedSocketException;
 import brassbank.proxy.Proxy;
+import brassbank.relay.limits.QueueMemory;
 import brassbank.sources.Clock;
 import brassbank.sources.SystemClock;
 import java.io.IOException;
@@ -102,7 +103,12 @@
       LOG.warn("hangup-ignored");
     }
     Proxy proxy =
-        new Proxy(config, options.relay(), options.membership(), new GrizzlyNetwork(clock));
+        new Proxy(
+            config,
+            options.relay(),
+            QueueMemory.ofHeap(Runtime.getRuntime().maxMemory()),
+            options.membership(),
+            new GrizzlyNetwork(clock));
     // Registered before the first client can connect: a SIGTERM in between would end the program
     // without a drain.
     Thread stop = new Thread(() -> stop(proxy), "stop");
--- a/src/main/java/brassbank/net/Link.java
+++ b/src/main/java/brassbank/net/Link.java
@@ -260,6 +260,15 @@
     return sendQueue.size();
   }
 
+  /**
+   * Discards the queued bytes behind the end of the first queued line, which may have been written
+   * in part already, and returns how many they were. Frees the memory of a link that is about to be
+   * closed.
+   */
+  public int discardQueuedLines() {
+    return sendQueue.keepFirstLine();
+  }
+
   /** Stops reading, so that TCP flow control slows the peer down. */
   public void pause() {
     if (!inputEnded && !released && !paused) {
--- a/src/main/java/brassbank/net/SendQueue.java
+++ b/src/main/java/brassbank/net/SendQueue.java
@@ -95,6 +95,29 @@
     }
   }
 
+  /**
+   * Discards the queued bytes behind the first line end, and returns how many they were. Without a
+   * line end nothing is discarded.
+   */
+  int keepFirstLine() {
+    int feed = start;
+    while (feed < end && data[feed] != '\n') {
+      feed++;
+    }
+    if (feed >= end) {
+      return 0;
+    }
+    int discarded = end - feed - 1;
+    byte[] old = data;
+    int kept = feed + 1 - start;
+    data = buffers.lease(kept);
+    System.arraycopy(old, start, data, 0, kept);
+    buffers.release(old);
+    start = 0;
+    end = kept;
+    return discarded;
+  }
+
   /** Discards the queued bytes and returns the block to the pool. */
   void clear() {
     if (data != null) {
--- a/src/main/java/brassbank/proxy/Proxy.java
+++ b/src/main/java/brassbank/proxy/Proxy.java
@@ -20,6 +20,7 @@
 import brassbank.net.Net;
 import brassbank.net.Network;
 import brassbank.relay.Relay;
+import brassbank.relay.limits.QueueMemory;
 import brassbank.relay.limits.RelayLimits;
 import brassbank.sources.Randomness;
 import java.io.IOException;
@@ -120,21 +121,32 @@
     this(config, limits, null, network);
   }
 
+  /** Creates a proxy without a limit on the memory of all sessions together. */
+  public Proxy(Config config, RelayLimits limits, MembershipConfig membership, Network network) {
+    this(config, limits, QueueMemory.UNLIMITED, membership, network);
+  }
+
   /**
    * Creates a proxy.
    *
    * @param config the configuration that the platform provides
    * @param limits the limits on slow peers
+   * @param memory the limit on the memory of all sessions together
    * @param membership how the proxy becomes a member of its fleet, or null if it is in none
    */
-  public Proxy(Config config, RelayLimits limits, MembershipConfig membership, Network network) {
+  public Proxy(
+      Config config,
+      RelayLimits limits,
+      QueueMemory memory,
+      MembershipConfig membership,
+      Network network) {
     this.config = config;
     settings = config.settings();
     clock = new FlowClock(network.clock());
     createdMicros = clock.now();
     descriptorShare = new DescriptorShare(config.descriptorLimit(), config.handover() != null);
     net = new Net(descriptorShare.limit(), network);
-    relay = new Relay(net, limits);
+    relay = new Relay(net, limits, memory);
     decider = new Decider(config.settings(), config.seed(), config.knownTargets(), clock);
     dispatcher =
         new Dispatcher(
--- a/src/main/java/brassbank/relay/Relay.java
+++ b/src/main/java/brassbank/relay/Relay.java
@@ -9,7 +9,10 @@
 import brassbank.net.Net;
 import brassbank.relay.limits.DisconnectDecision;
 import brassbank.relay.limits.PeerLimits;
+import brassbank.relay.limits.QueueMemory;
 import brassbank.relay.limits.RelayLimits;
+import brassbank.relay.limits.SessionPeers;
+import brassbank.relay.limits.Side;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
@@ -25,6 +28,7 @@
 
   private final Net net;
   private final PeerLimits limits;
+  private final QueueMemory memory;
   private final LineFeedScanner lineFeeds = new LineFeedScanner();
 
   /** Sessions of which a link is still open, by the number of the flow. */
@@ -35,8 +39,16 @@
   /** When the last wait for the end of a line ends, in {@link #nowMicros}. */
   private long lineEndDeadlineMicros = Long.MAX_VALUE;
 
-  public Relay(Net net, RelayLimits limits) {
+  /** A task that frees memory is scheduled. */
+  private boolean freeingMemory;
+
+  /**
+   * @param limits the limits on slow peers
+   * @param memory the limit on the memory of all sessions together
+   */
+  public Relay(Net net, RelayLimits limits, QueueMemory memory) {
     this.net = net;
+    this.memory = memory;
     this.limits = new PeerLimits(limits);
     net.buffers().readQuota(limits.readQuotaBytes());
   }
@@ -118,6 +130,41 @@
     return TimeUnit.NANOSECONDS.toMicros(net.clock().nanos());
   }
 
+  /** Returns the most bytes that a session reads at once now. */
+  int readQuotaBytes() {
+    return memory.readQuotaBytes(limits.limits().readQuotaBytes(), usedBytes());
+  }
+
+  /** Returns whether so much is queued for this side that the other side must not be read. */
+  boolean isFull(SessionPeers peers, Side side) {
+    return limits.isFull(peers, side)
+        || (memory.isShort(usedBytes()) && peers.queuedBytes(side) > 0);
+  }
+
+  /** Returns how many bytes may be queued for this side when the other side is read again. */
+  int resumeBytes(Side side) {
+    // Resumes at half the limit: resuming at the first free byte would read and write a few bytes
+    // per loop iteration.
+    return memory.isShort(usedBytes()) ? 0 : limits.limits().of(side).maxQueuedBytes() / 2;
+  }
+
+  private long usedBytes() {
+    return net.buffers().leasedBytes();
+  }
+
+  /** Ends sessions soon if the memory of all sessions exceeds its limit. */
+  void checkMemory() {
+    if (!freeingMemory && memory.excessBytes(usedBytes()) > 0) {
+      freeingMemory = true;
+      net.loop().schedule(0, this::freeMemory);
+    }
+  }
+
+  private void freeMemory() {
+    freeingMemory = false;
+    carryOut(limits.freeMemory(nowMicros(), memory.excessBytes(usedBytes())));
+  }
+
   /** Schedules the next evaluation of the limits, unless one is scheduled or none is needed. */
   void scheduleEvaluation() {
     long delay = limits.evaluationDelayMicros();
@@ -139,7 +186,11 @@
       evaluationTimer.cancel();
       evaluationTimer = null;
     }
-    List<DisconnectDecision> decisions = limits.evaluate(nowMicros());
+    carryOut(limits.evaluate(nowMicros()));
+    scheduleEvaluation();
+  }
+
+  private void carryOut(List<DisconnectDecision> decisions) {
     for (DisconnectDecision decision : decisions) {
       RelayedSession session = sessions.get(decision.session().id());
       logDecision(decision);
@@ -152,7 +203,6 @@
           value("waiting", limits.queuedBytes()),
           value("sessions", limits.sessions()));
     }
-    scheduleEvaluation();
   }
 
   private static void logDecision(DisconnectDecision decision) {
--- a/src/main/java/brassbank/relay/RelayedSession.java
+++ b/src/main/java/brassbank/relay/RelayedSession.java
@@ -113,7 +113,7 @@
 
   @Override
   public int readQuota(Link link) {
-    return limits.limits().readQuotaBytes();
+    return relay.readQuotaBytes();
   }
 
   @Override
@@ -135,7 +135,7 @@
     if (closed) {
       return;
     }
-    if (limits.isFull(peers, Side.TARGET)) {
+    if (relay.isFull(peers, Side.TARGET)) {
       client.pause();
     }
     boolean wasInLine = clientLines.inLine();
@@ -157,7 +157,7 @@
     if (closed) {
       return;
     }
-    if (limits.isFull(peers, Side.CLIENT) && finalLine == null) {
+    if (relay.isFull(peers, Side.CLIENT) && finalLine == null) {
       target.pause();
     }
     boolean wasInLine = hostLines.inLine();
@@ -199,6 +199,7 @@
     }
     if (!closed) {
       unfinishedLine.append(bytes.limit(end).position(heldStart));
+      relay.checkMemory();
     }
   }
 
@@ -256,6 +257,7 @@
   @Override
   public void queued(Link link, int bytes) {
     limits.bytesQueued(peers, side(link), bytes, relay.nowMicros());
+    relay.checkMemory();
     if (limits.isOverBudget(peers)) {
       relay.evaluateSoon();
     } else {
@@ -266,10 +268,7 @@
   @Override
   public void drained(Link link, int bytes) {
     limits.bytesDrained(peers, side(link), bytes);
-    SideLimits side = limits.limits().of(side(link));
-    // Resumes at half the limit: resuming at the first free byte would read and write a few bytes
-    // per loop iteration.
-    if (!closed && link.queuedBytes() <= side.maxQueuedBytes() / 2) {
+    if (!closed && link.queuedBytes() <= relay.resumeBytes(side(link))) {
       other(link).resume();
     }
   }
@@ -397,6 +396,16 @@
     notifyClosed();
   }
 
+  /**
+   * Frees the session's memory and sends the final line behind the line that the client may have
+   * received in part. The lines behind that are lost with the session.
+   */
+  private void freeMemory(String line) {
+    finalLine = line;
+    limits.bytesDrained(peers, Side.CLIENT, client.discardQueuedLines());
+    finish();
+  }
+
   /** Applies the decision to disconnect a slow peer of this session. */
   void disconnect(DisconnectDecision decision) {
     boolean first = !ending && finalLine == null;
@@ -410,7 +419,11 @@
     } else if (first) {
       finalLineLimitMicros = limits.limits().finalLineTimeoutMicros();
       targetUnresponsive = decision.side() == Side.TARGET;
-      sendFinalLine(line);
+      if (decision.reason() == DisconnectDecision.Reason.MEMORY) {
+        freeMemory(line);
+      } else {
+        sendFinalLine(line);
+      }
     }
   }
 }
--- a/src/main/java/brassbank/relay/limits/DisconnectDecision.java
+++ b/src/main/java/brassbank/relay/limits/DisconnectDecision.java
@@ -28,6 +28,8 @@
     /** The practice's budget is exceeded, and its sessions are ended by severity. */
     PRACTICE_BUDGET,
     /** The budget of all sessions is exceeded, and sessions are ended by severity. */
-    BUDGET
+    BUDGET,
+    /** The memory of all sessions is exhausted, and sessions are ended by severity. */
+    MEMORY
   }
 }
--- a/src/main/java/brassbank/relay/limits/PeerLimits.java
+++ b/src/main/java/brassbank/relay/limits/PeerLimits.java
@@ -5,9 +5,11 @@
 import java.util.Comparator;
 import java.util.EnumMap;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Enforces the limits on slow peers over all sessions. A peer is <em>behind</em> while bytes are
@@ -267,9 +269,7 @@
     candidates.removeIf(peer -> !peer.isBehind() || peer.session.disconnected);
     candidates.sort(
         Comparator.comparing((Peer peer) -> !peer.session.disconnecting)
-            .thenComparing(peer -> -peer.severity(now))
-            .thenComparing(peer -> peer.session.id)
-            .thenComparing(peer -> peer.side));
+            .thenComparing(mostSevereFirst(now)));
     for (Map.Entry<Practice, Long> practice : totals.entrySet()) {
       for (int i = 0; i < candidates.size() && exceedsBudget(practice); i++) {
         Peer peer = candidates.get(i);
@@ -286,6 +286,39 @@
     return true;
   }
 
+  /**
+   * Decides which sessions end so that at least this many queued bytes are freed: those whose peers
+   * have the most bytes queued for the longest time come first. If those do not suffice, sessions
+   * that are ending gracefully end at once. The caller carries out all decisions.
+   */
+  public List<DisconnectDecision> freeMemory(long now, long bytes) {
+    List<Peer> candidates = new ArrayList<>(watched);
+    candidates.removeIf(peer -> !peer.isBehind() || peer.session.disconnected);
+    candidates.sort(
+        Comparator.comparing((Peer peer) -> peer.session.disconnecting)
+            .thenComparing(mostSevereFirst(now)));
+    List<DisconnectDecision> decisions = new ArrayList<>();
+    Set<SessionPeers> decided = new HashSet<>();
+    long remaining = bytes;
+    for (int i = 0; i < candidates.size() && remaining > 0; i++) {
+      SessionPeers session = candidates.get(i).session;
+      if (decided.add(session)) {
+        session.disconnected = session.disconnecting;
+        session.disconnecting = true;
+        decisions.add(decision(candidates.get(i), Reason.MEMORY, session.disconnected, now));
+        remaining -= session.queuedBytes(Side.CLIENT) + session.queuedBytes(Side.TARGET);
+      }
+    }
+    decisions.forEach(decision -> disconnects.merge(decision.reason(), 1L, Long::sum));
+    return decisions;
+  }
+
+  private static Comparator<Peer> mostSevereFirst(long now) {
+    return Comparator.comparingDouble((Peer peer) -> -peer.severity(now))
+        .thenComparing(peer -> peer.session.id)
+        .thenComparing(peer -> peer.side);
+  }
+
   private boolean exceedsBudget(Map.Entry<Practice, Long> total) {
     return total.getValue() > limits.budgetOf(total.getKey().name);
   }
--- a/src/main/java/brassbank/relay/limits/SessionPeers.java
+++ b/src/main/java/brassbank/relay/limits/SessionPeers.java
@@ -60,7 +60,7 @@
   }
 
   /** Returns the number of bytes queued for this side. */
-  long queuedBytes(Side side) {
+  public long queuedBytes(Side side) {
     Peer peer = get(side);
     return peer == null ? 0 : peer.queuedBytes;
   }
--- a/src/test/java/brassbank/relay/InMemoryNetwork.java
+++ b/src/test/java/brassbank/relay/InMemoryNetwork.java
@@ -28,6 +28,8 @@
     private byte[] readable = new byte[0];
     private Handler handler;
     private String end = "";
+    private boolean reading = true;
+    private boolean writing;
 
     /** The number of further bytes that the peer accepts. */
     int writableBytes = UNLIMITED_BYTES;
@@ -43,6 +45,27 @@
       }
     }
 
+    /** Sends the text, of which the proxy reads as much as it wants to now. */
+    void sendWhileRead(String text) {
+      readable = text.getBytes(StandardCharsets.ISO_8859_1);
+      readWhileEnabled();
+    }
+
+    /** Lets the proxy read what is left of the text, as far as it wants to now. */
+    void readWhileEnabled() {
+      while (reading && readable != null && readable.length > 0 && end.isEmpty()) {
+        handler.readable();
+      }
+    }
+
+    /** Accepts everything from now on, beginning with what the proxy has queued. */
+    void acceptAll() {
+      writableBytes = UNLIMITED_BYTES;
+      while (writing && end.isEmpty()) {
+        handler.writable();
+      }
+    }
+
     /** Ends the peer's stream. */
     void finish() {
       readable = null;
@@ -85,10 +108,14 @@
     }
 
     @Override
-    public void reading(boolean on) {}
+    public void reading(boolean on) {
+      reading = on;
+    }
 
     @Override
-    public void writing(boolean on) {}
+    public void writing(boolean on) {
+      writing = on;
+    }
 
     @Override
     public void shutdownOutput() {
--- a/src/test/java/brassbank/relay/RelayedSessionTest.java
+++ b/src/test/java/brassbank/relay/RelayedSessionTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import brassbank.relay.limits.DisconnectDecision;
+import brassbank.relay.limits.QueueMemory;
 import brassbank.relay.limits.RelayLimits;
 import brassbank.relay.limits.Side;
 import org.junit.jupiter.api.BeforeEach;
@@ -11,7 +12,7 @@
 /** How a session ends while its host is writing. */
 class RelayedSessionTest {
   private final InMemoryNetwork network = new InMemoryNetwork();
-  private final Relay relay = new Relay(network.net, RelayLimits.NONE);
+  private final Relay relay = new Relay(network.net, RelayLimits.NONE, QueueMemory.UNLIMITED);
   private final InMemoryNetwork.Peer client = network.connect();
   private final InMemoryNetwork.Peer host = network.connect();
   private final RelayedSession session =
