Tests: one in-memory network and one observer that ignores events, in place of four copies

LinkTest and the tests of the relay had each a network of its own that provides little more than a clock, and RelayBenchmark and two tests an observer with empty methods. InMemoryNetwork (now in the tests of brassbank.net) and IgnoringObserver serve all of them. No assertion changed; LinkTest, the Relay tests and ArchitectureTest pass, the benchmarks compile.

--- a/src/jmh/java/brassbank/relay/RelayBenchmark.java
+++ b/src/jmh/java/brassbank/relay/RelayBenchmark.java
@@ -5,10 +5,8 @@
 import brassbank.net.Link;
 import brassbank.net.Net;
 import brassbank.net.Network;
-import brassbank.relay.limits.DisconnectDecision;
 import brassbank.relay.limits.QueueMemory;
 import brassbank.relay.limits.RelayLimits;
-import brassbank.relay.limits.Side;
 import brassbank.sources.Clock;
 import brassbank.sources.SystemClock;
 import java.io.IOException;
@@ -137,7 +135,7 @@
     }
   }
 
-  private final class CountingObserver implements SessionObserver {
+  private final class CountingObserver extends IgnoringObserver {
     @Override
     public void requestRelayed() {
       changes++;
@@ -147,23 +145,6 @@
     public void responseRelayed() {
       changes++;
     }
-
-    @Override
-    public void loadReported(String text) {}
-
-    @Override
-    public void byeReceived() {}
-
-    @Override
-    public void moveReceived() {}
-
-    @Override
-    public void ended(boolean byClient, boolean reset) {}
-
-    @Override
-    public String slowPeerDisconnected(Side side, DisconnectDecision.Reason reason) {
-      return "MOVE";
-    }
   }
 
   @Setup
--- a/src/test/java/brassbank/relay/InMemoryNetwork.java
+++ b/src/test/java/brassbank/net/InMemoryNetwork.java
@@ -1,10 +1,5 @@
-package brassbank.relay;
+package brassbank.net;
 
-import brassbank.net.Channel;
-import brassbank.net.EventLoop;
-import brassbank.net.Link;
-import brassbank.net.Net;
-import brassbank.net.Network;
 import brassbank.sources.Clock;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -14,7 +9,7 @@
 import java.util.function.Consumer;
 
 /** A network of channels in memory, with a clock that the test advances. */
-final class InMemoryNetwork implements Network, Clock {
+public final class InMemoryNetwork implements Network, Clock {
   private static final int DESCRIPTORS = 1024;
 
   /** Large enough that no write of these tests is queued unless the test limits it. */
@@ -23,7 +18,7 @@
   /**
    * One connection: what the peer sends is read by the proxy, what the proxy writes is recorded.
    */
-  static final class Peer implements Channel {
+  public static final class Peer implements Channel {
     private final StringBuilder written = new StringBuilder();
     private byte[] readable = new byte[0];
     private Handler handler;
@@ -32,13 +27,13 @@
     private boolean writing;
 
     /** The number of further bytes that the peer accepts. */
-    int writableBytes = UNLIMITED_BYTES;
+    public int writableBytes = UNLIMITED_BYTES;
 
     /** Link that the proxy made of this connection. */
-    Link link;
+    public Link link;
 
     /** Sends the text in one piece, which the proxy reads at once. */
-    void send(String text) {
+    public void send(String text) {
       readable = text.getBytes(StandardCharsets.ISO_8859_1);
       while (readable.length > 0 && end.isEmpty()) {
         handler.readable();
@@ -46,20 +41,20 @@
     }
 
     /** Sends the text, of which the proxy reads as much as it wants to now. */
-    void sendWhileRead(String text) {
+    public void sendWhileRead(String text) {
       readable = text.getBytes(StandardCharsets.ISO_8859_1);
       readWhileEnabled();
     }
 
     /** Lets the proxy read what is left of the text, as far as it wants to now. */
-    void readWhileEnabled() {
+    public void readWhileEnabled() {
       while (reading && readable != null && readable.length > 0 && end.isEmpty()) {
         handler.readable();
       }
     }
 
     /** Accepts everything from now on, beginning with what the proxy has queued. */
-    void acceptAll() {
+    public void acceptAll() {
       writableBytes = UNLIMITED_BYTES;
       while (writing && end.isEmpty()) {
         handler.writable();
@@ -67,7 +62,7 @@
     }
 
     /** Ends the peer's stream. */
-    void finish() {
+    public void finish() {
       readable = null;
       handler.readable();
     }
@@ -75,7 +70,7 @@
     /**
      * Returns all that was written to the peer, with {@code |END} or {@code |RESET} if it ended.
      */
-    String received() {
+    public String received() {
       return written + end;
     }
 
@@ -139,12 +134,12 @@
     }
   }
 
-  final Net net = new Net(DESCRIPTORS, this);
+  public final Net net = new Net(DESCRIPTORS, this);
   private long nowNanos;
   private Consumer<Channel> accepted;
   private Link lastAccepted;
 
-  InMemoryNetwork() {
+  public InMemoryNetwork() {
     try {
       net.listen(new InetSocketAddress(0), link -> lastAccepted = link);
     } catch (IOException e) {
@@ -153,7 +148,7 @@
   }
 
   /** Opens a connection to the proxy. */
-  Peer connect() {
+  public Peer connect() {
     Peer peer = new Peer();
     accepted.accept(peer);
     peer.link = lastAccepted;
@@ -161,7 +156,7 @@
   }
 
   /** Lets time pass and runs the timers that become due, each at its own time. */
-  void advanceMillis(long millis) {
+  public void advanceMillis(long millis) {
     long until = nowNanos + TimeUnit.MILLISECONDS.toNanos(millis);
     while (net.loop().nextDeadlineNanos() <= until) {
       nowNanos = Math.max(nowNanos, net.loop().nextDeadlineNanos());
--- a/src/test/java/brassbank/net/LinkTest.java
+++ b/src/test/java/brassbank/net/LinkTest.java
@@ -2,15 +2,11 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import brassbank.sources.Clock;
-import brassbank.sources.SystemClock;
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 
 class LinkTest {
@@ -77,42 +73,6 @@
     }
   }
 
-  /** A network that provides a clock and nothing else. */
-  private static final class ClockOnlyNetwork implements Network {
-    @Override
-    public void start(EventLoop loop) {}
-
-    @Override
-    public Listener listen(InetSocketAddress address, boolean first, Consumer<Channel> accepted) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public Attempt connect(InetSocketAddress address, ConnectHandler handler) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public Attempt get(InetSocketAddress address, String path, ResponseHandler handler) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public void execute(Runnable task) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public int descriptors() {
-      return -1;
-    }
-
-    @Override
-    public Clock clock() {
-      return new SystemClock();
-    }
-  }
-
   private final class RecordingHandler implements Link.StreamHandler {
     @Override
     public int readQuota(Link from) {
@@ -147,7 +107,7 @@
 
   private final LimitedChannel channel = new LimitedChannel();
   private final List<String> events = new ArrayList<>();
-  private final Net net = new Net(1024, new ClockOnlyNetwork());
+  private final Net net = new InMemoryNetwork().net;
   private final Link link =
       new Link(
           net,
--- a/src/test/java/brassbank/relay/RelayMemoryTest.java
+++ b/src/test/java/brassbank/relay/RelayMemoryTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import brassbank.net.InMemoryNetwork;
 import brassbank.relay.limits.DisconnectDecision;
 import brassbank.relay.limits.QueueMemory;
 import brassbank.relay.limits.RelayLimits;
@@ -24,7 +25,7 @@
   private final List<DisconnectDecision.Reason> reasons = new ArrayList<>();
   private Relay relay;
 
-  private final class Session implements SessionObserver {
+  private final class Session extends IgnoringObserver {
     final InMemoryNetwork.Peer client = network.connect();
     final InMemoryNetwork.Peer host = network.connect();
 
@@ -33,24 +34,6 @@
       relay.openSession(sessions.size(), null, client.link, host.link, this).start();
     }
 
-    @Override
-    public void requestRelayed() {}
-
-    @Override
-    public void responseRelayed() {}
-
-    @Override
-    public void loadReported(String text) {}
-
-    @Override
-    public void byeReceived() {}
-
-    @Override
-    public void moveReceived() {}
-
-    @Override
-    public void ended(boolean byClient, boolean reset) {}
-
     @Override
     public String slowPeerDisconnected(Side side, DisconnectDecision.Reason reason) {
       reasons.add(reason);
--- a/src/test/java/brassbank/relay/RelayedSessionTest.java
+++ b/src/test/java/brassbank/relay/RelayedSessionTest.java
@@ -2,10 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import brassbank.relay.limits.DisconnectDecision;
+import brassbank.net.InMemoryNetwork;
 import brassbank.relay.limits.QueueMemory;
 import brassbank.relay.limits.RelayLimits;
-import brassbank.relay.limits.Side;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -22,33 +21,13 @@
   private boolean moveOnResponse;
 
   /** Has the session moved from within the report of an event, as the dispatcher does. */
-  private final class MovingObserver implements SessionObserver {
-    @Override
-    public void requestRelayed() {}
-
+  private final class MovingObserver extends IgnoringObserver {
     @Override
     public void responseRelayed() {
       if (moveOnResponse) {
         move();
       }
     }
-
-    @Override
-    public void loadReported(String text) {}
-
-    @Override
-    public void byeReceived() {}
-
-    @Override
-    public void moveReceived() {}
-
-    @Override
-    public void ended(boolean byClient, boolean reset) {}
-
-    @Override
-    public String slowPeerDisconnected(Side side, DisconnectDecision.Reason reason) {
-      return "MOVE";
-    }
   }
 
   /** A final line waits this long at most for the end of a line. */
