Reload: options that need more memory than there is change nothing

Cause: the shared read buffer is allocated in the middle of a reload, on the event loop.

Fix: BufferPool reports missing memory as an unusable argument, and the limits come first in a reload, so that the old settings all stand. RelayTest.keepsItsSettingsWhenThereIsNoMemory... failed before, the process ended; it passes now.

--- a/src/main/java/brassbank/net/BufferPool.java
+++ b/src/main/java/brassbank/net/BufferPool.java
@@ -53,11 +53,19 @@
   /**
    * Sets the most bytes that a link reads per readable event. Must not be called while a handler is
    * processing bytes of the shared buffer.
+   *
+   * @throws IllegalArgumentException if there is not enough direct memory; the previous quota
+   *     stands
    */
   public void readQuota(int bytes) {
     int capacity = INPUT_HEADROOM_BYTES + bytes;
     if (input == null || input.capacity() != capacity) {
-      input = ByteBuffer.allocateDirect(capacity).order(ByteOrder.LITTLE_ENDIAN);
+      try {
+        input = ByteBuffer.allocateDirect(capacity).order(ByteOrder.LITTLE_ENDIAN);
+      } catch (OutOfMemoryError e) {
+        throw new IllegalArgumentException(
+            "no direct memory for a read quota of " + bytes + " bytes", e);
+      }
     }
   }
 
--- a/src/main/java/brassbank/proxy/Proxy.java
+++ b/src/main/java/brassbank/proxy/Proxy.java
@@ -338,9 +338,10 @@
   public void reload(Config next, RelayLimits limits, MembershipConfig membership) {
     net.execute(
         () -> {
+          // First, since it fails if there is no memory for the limits: the old settings all stand.
+          relay.configure(limits);
           descriptorShare.setTotalLimit(next.descriptorLimit());
           net.descriptorLimit(descriptorShare.limit());
-          relay.configure(limits);
           settings = next.settings();
           dispatcher.configure(
               next.settings(),
--- a/src/main/java/brassbank/relay/Relay.java
+++ b/src/main/java/brassbank/relay/Relay.java
@@ -53,10 +53,14 @@
     net.buffers().readQuota(limits.readQuotaBytes());
   }
 
-  /** Changes the limits, also for established sessions. */
+  /**
+   * Changes the limits, also for established sessions.
+   *
+   * @throws IllegalArgumentException if there is no memory for the read quota; nothing changes then
+   */
   public void configure(RelayLimits next) {
-    limits.configure(next);
     net.buffers().readQuota(next.readQuotaBytes());
+    limits.configure(next);
     evaluate();
   }
 
--- a/src/test/java/brassbank/RelayTest.java
+++ b/src/test/java/brassbank/RelayTest.java
@@ -426,6 +426,21 @@
     assertThat(writer.isAlive()).isFalse();
   }
 
+  /**
+   * Guards against a file that ends a serving process: the memory for its read quota is missing.
+   */
+  @Test
+  void keepsItsSettingsWhenThereIsNoMemoryForTheNewOnes() throws Exception {
+    fixture.optionsText = "";
+    fixture.start(target);
+    Session session = openSession("d=2000");
+    fixture.reloadOptions(
+        "[relay]\nturn = \"16 MiB\"\nbudget = \"128 MiB\"\npractice-budget = \"64 MiB\"\n");
+    awaitLog("no direct memory for a read quota of 16777216 bytes");
+    assertRelaysLines(session);
+    assertThat(fixture.process.isAlive()).isTrue();
+  }
+
   @Test
   void reportsAllProblemsOfItsOptionsAndDoesNotStart() throws Exception {
     fixture.optionsText = "[relay]\nx = 1\nturn = 3\n";
