--- a/src/test/java/brassbank/SilentReadersIT.java
+++ b/src/test/java/brassbank/SilentReadersIT.java
@@ -80,12 +80,16 @@
     writer.start();
   }
 
-  private void startStreams() {
+  /** Streams to the sessions that are new, and returns how many they are. */
+  private int startStreams() {
+    int started = 0;
     for (ProxyFixture.Target target : targets) {
       for (Peer host = target.flows.poll(); host != null; host = target.flows.poll()) {
         stream(host);
+        started++;
       }
     }
+    return started;
   }
 
   /** Asks the program for PONG until no host can write any more, and for two more seconds. */
@@ -122,7 +126,12 @@
     assertAnswersPingUntilAllIsFull();
     assertThat(fixture.process.isAlive()).as(Files.readString(fixture.logFile())).isTrue();
     Peer client = connect();
-    startStreams();
+    // The host may register the session after its client has received the answer.
+    long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Peer.LIMIT_MILLIS);
+    while (startStreams() == 0) {
+      assertThat(System.nanoTime()).as("the new session reaches its host").isLessThan(end);
+      Thread.sleep(10);
+    }
     assertThat(client.line() + "\r\n").isEqualTo(LINE);
   }
 }
