--- a/review/rig2/Rig.java
+++ b/review/rig2/Rig.java
@@ -151,6 +151,9 @@
     final List<Socket> connections = new CopyOnWriteArrayList<>();
     final AtomicInteger receipts = new AtomicInteger();
 
+    /** A host that drains completes what it has and turns new flows away. */
+    volatile boolean draining;
+
     /** The first lines that have arrived here: the time and the id. */
     final ConcurrentLinkedQueue<Map.Entry<Long, String>> opens = new ConcurrentLinkedQueue<>();
 
@@ -196,6 +199,10 @@
       } else if (line.startsWith("OPEN ")) {
         opens.add(Map.entry(nowMillis(), line.split(" ")[1]));
         note(name + " gets " + line);
+        if (draining) {
+          write(connection, "BUSY");
+          return false;
+        }
         write(connection, "UP r-" + name + "-" + receipts.incrementAndGet());
       } else {
         write(connection, line);
@@ -239,11 +246,11 @@
           + "}";
     }
 
-    /** Changes an entry and writes the change to all watches. */
-    synchronized void set(String name, String address, String status) throws IOException {
+    synchronized void set(String name, String address, String status) {
       set(name, address, status, 0);
     }
 
+    /** Changes an entry and writes the change to all watches. */
     synchronized void set(String name, String address, String status, long sinceMillis) {
       String entry = entry(name, address, status, sinceMillis);
       if (status.equals("DELETED")) {
@@ -284,6 +291,15 @@
       out.flush();
     }
 
+    /** Leaves this address: new connections are refused, and the open ones are closed. */
+    synchronized void close() throws IOException {
+      note("discovery at " + address + " closes");
+      socket.close();
+      for (Socket watch : List.copyOf(watches)) {
+        watch.close();
+      }
+    }
+
     private void accept() {
       try {
         while (true) {
