--- a/review/rig2/Rig.java
+++ b/review/rig2/Rig.java
@@ -502,8 +502,12 @@
           socket.setSoTimeout(2_000);
           write(socket, "PING");
           if ("PONG".equals(reader(socket).readLine())) {
-            note("the proxy is ready");
-            return;
+            // Somebody else may have taken the port: then this process ends at once.
+            sleep(200);
+            if (process.isAlive()) {
+              note("the proxy is ready");
+              return;
+            }
           }
         } catch (IOException e) {
           // Not ready yet.
