--- a/review/rig2/StopHalfLine.java
+++ b/review/rig2/StopHalfLine.java
@@ -7,7 +7,7 @@
 
 /**
  * A planned restart: clients that still connect within 0.4 s after SIGTERM write their line in two
- * pieces, 0.3 s apart. Does each whole line get an answer?
+ * pieces, 0.30 to 0.39 s apart. Does each whole line get an answer?
  */
 final class StopHalfLine extends Rig {
   public static void main(String[] args) {
@@ -20,14 +20,14 @@
     volatile String end;
     volatile boolean whole;
 
-    void run(ProxyProcess proxy) {
+    void run(ProxyProcess proxy, long gapMillis) {
       try (Socket socket = new Socket("127.0.0.1", proxy.port)) {
         socket.setTcpNoDelay(true);
         socket.setSoTimeout(6_000);
         byte[] line = (Client.opening(id, "preview", 4_800) + "\r\n").getBytes(StandardCharsets.US_ASCII);
         socket.getOutputStream().write(line, 0, 20);
         note("client " + id + " has connected and written the first piece of its line");
-        sleep(300);
+        sleep(gapMillis);
         socket.getOutputStream().write(line, 20, line.length - 20);
         whole = true;
         note("client " + id + " has written the last byte of its line");
@@ -53,11 +53,12 @@
     }
     long term = nowMillis();
     List<SlowClient> clients = new ArrayList<>();
-    for (int at : new int[] {320, 340, 360, 380}) {
-      sleep(term + at - nowMillis());
+    for (int i = 0; i < 4; i++) {
+      sleep(term + 340 + 10 * i - nowMillis());
       SlowClient client = new SlowClient();
       clients.add(client);
-      thread("client", () -> client.run(proxy));
+      long gapMillis = 300 + 30 * i;
+      thread("client", () -> client.run(proxy, gapMillis));
     }
     sleep(4_500);
     List<String> broken = new ArrayList<>();
